--- a/src/wire/peernetwork.h
+++ b/src/wire/peernetwork.h
@@ -19,6 +19,7 @@
 #include "base/time.h"
 #include "wire/messagekind.h"
 
+#include <concepts>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
