--- a/src/ctl/rhubarbwindctl_main.cpp
+++ b/src/ctl/rhubarbwindctl_main.cpp
@@ -115,7 +115,7 @@
             return parsed.count("help") > 0 ? 0 : static_cast<int>(ExitCode::Usage);
         }
         return runCommand(parsed);
-    } catch (const cxxopts::OptionException &error) {
+    } catch (const cxxopts::exceptions::exception &error) {
         return fail(ExitCode::Usage, error.what());
     }
 }
