Score endpoints by wait, hop, prefill and seen speed

Cause: least loaded within fixed slots ignores prefix caches, stragglers, cold endpoints and what the engine can sustain. Ruled out: additive-increase limit (settles two to four times slower on the same engine model); a radix tree for prefixes (chained digests make a flat table enough). Change: adaptive limit, speed model, prefix index, failure wait, leaving marks, load from elsewhere; properties and examples.

--- a/src/routing/endpointpool.cpp
+++ b/src/routing/endpointpool.cpp
@@ -1,7 +1,12 @@
+// A full scan with a score for each endpoint, rather than the power of two choices: a shard has about 50
+// endpoints and one arbiter that knows its own load exactly, so the scan is cheap and sees the best one. Two
+// random choices pay off where the load seen is stale and shared by many choosers; here it is neither.
+
 #include "routing/endpointpool.h"
 
 #include <algorithm>
-#include <set>
+#include <bit>
+#include <cmath>
 
 namespace Rhubarbwind
 {
@@ -9,11 +14,23 @@
 namespace
 {
 
-std::uint64_t neededTokens(std::uint32_t promptTokens, std::uint32_t estimatedTokens)
+// About how many finished pieces of work a fitted line remembers.
+constexpr double lineMemory = 200;
+// Weight of a new reservation in the mean size.
+constexpr double sizeGain = 0.05;
+// Marks for endpoints that were never listed: more would be a fault of the sender.
+constexpr std::size_t mostMembers = 1024;
+
+std::uint64_t tokensOf(std::uint32_t promptTokens, std::uint32_t estimatedTokens)
 {
     return std::uint64_t{promptTokens} + estimatedTokens;
 }
 
+double slotsOf(const Endpoint &endpoint)
+{
+    return std::max<std::uint32_t>(endpoint.slots, 1);
+}
+
 } // namespace
 
 Duration HopCosts::cost(const FailureDomain &from, const FailureDomain &to) const
@@ -27,144 +44,444 @@
     return from == to ? within : between;
 }
 
-EndpointPool::EndpointPool(EndpointPoolOptions options, TimePoint)
+EndpointPool::EndpointPool(EndpointPoolOptions options, TimePoint now)
     : m_options(std::move(options))
+    , m_start(now)
+    , m_lastEvent(now)
+    , m_index(m_options.prefix, now)
+    , m_tokenLine(lineMemory, toSeconds(m_options.batchRise))
+    , m_answerLine(lineMemory, toSeconds(m_options.serviceRise))
+    , m_prefillLine(lineMemory, toSeconds(m_options.prefillPerToken))
+{
+}
+
+EndpointPool::Member *EndpointPool::find(const EndpointId &id)
 {
+    const auto found = m_members.find(id);
+    return found == m_members.end() ? nullptr : &found->second;
 }
 
-EndpointObstacle EndpointPool::obstacle(TimePoint now, const Member &member, std::uint64_t needed) const
+EndpointPool::Member &EndpointPool::member(TimePoint now, const EndpointId &id)
 {
-    const Endpoint &endpoint = member.endpoint;
-    if (!member.listed || endpoint.state == EndpointState::Gone) {
-        return EndpointObstacle::Gone;
+    if (Member *known = find(id)) {
+        return *known;
     }
-    if (endpoint.state == EndpointState::Leaving || (member.leavingUntil && now < *member.leavingUntil)) {
-        return EndpointObstacle::Leaving;
+    Endpoint endpoint;
+    endpoint.id = id;
+    Member fresh{endpoint,
+                 false,
+                 {},
+                 EndpointLoad(m_options.reportWindow, now),
+                 AdaptiveLimit(m_options.limit, endpoint.slots),
+                 EndpointSpeed(m_options.speed),
+                 FailureWait(m_options.firstFailureWait, m_options.mostFailureWait),
+                 {},
+                 {},
+                 now};
+    return m_members.emplace(id, std::move(fresh)).first->second;
+}
+
+void EndpointPool::update(TimePoint now, std::span<const Endpoint> endpoints)
+{
+    m_lastEvent = now;
+    std::map<EndpointId, Endpoint> listed;
+    for (const Endpoint &endpoint : endpoints) {
+        const auto [place, isNew] = listed.emplace(endpoint.id, endpoint);
+        // Listed twice, as during a handover of the list: the later state wins.
+        if (!isNew && place->second.state < endpoint.state) {
+            place->second = endpoint;
+        }
     }
-    if (member.inFlight >= endpoint.slots) {
-        return EndpointObstacle::AtLimit;
+    for (auto &[id, member] : m_members) {
+        const auto found = listed.find(id);
+        if (found == listed.end() || found->second.state == EndpointState::Gone) {
+            unlist(member);
+        }
+    }
+    for (const auto &[id, endpoint] : listed) {
+        if (endpoint.state != EndpointState::Gone) {
+            list(now, endpoint);
+        }
+    }
+    eraseForgotten(now);
+    refreshMedian(now);
+}
+
+void EndpointPool::unlist(Member &member)
+{
+    member.mark.onList(ListedAs::Absent);
+    member.listed = false;
+    if (member.holder) {
+        m_index.drop(*member.holder);
+        m_freeHolders |= std::uint64_t{1} << *member.holder;
+        member.holder.reset();
+    }
+}
+
+void EndpointPool::list(TimePoint now, const Endpoint &endpoint)
+{
+    Member &member = this->member(now, endpoint.id);
+    member.mark.onList(endpoint.state == EndpointState::Live ? ListedAs::Live : ListedAs::Leaving);
+    const bool isNew = !member.listed;
+    const bool isBack = member.listed && member.endpoint.state == EndpointState::Leaving && endpoint.state == EndpointState::Live;
+    const bool isOther = member.endpoint.slots != endpoint.slots || member.endpoint.kind != endpoint.kind;
+    member.endpoint = endpoint;
+    member.listed = true;
+    if (isNew || isOther) {
+        resetLearned(member);
+    }
+    const bool atStart = now - m_start <= m_options.startGrace;
+    if (isBack || (isNew && !atStart)) {
+        member.coldSince = now;
+    }
+    if (!member.holder && m_freeHolders != 0) {
+        member.holder = static_cast<PrefixIndex::Holder>(std::countr_zero(m_freeHolders));
+        m_freeHolders &= m_freeHolders - 1;
+    }
+}
+
+void EndpointPool::resetLearned(Member &member)
+{
+    member.limit = AdaptiveLimit(m_options.limit, member.endpoint.slots);
+    member.speed = EndpointSpeed(m_options.speed);
+    member.failures = FailureWait(m_options.firstFailureWait, m_options.mostFailureWait);
+    member.reportsReuse = false;
+}
+
+void EndpointPool::eraseForgotten(TimePoint now)
+{
+    std::erase_if(m_members, [now](const auto &entry) {
+        const Member &member = entry.second;
+        return !member.listed && member.load.inFlight() == 0 && !member.mark.inForce(now);
+    });
+}
+
+void EndpointPool::markLeaving(TimePoint now, const EndpointId &endpoint)
+{
+    m_lastEvent = now;
+    if (find(endpoint) == nullptr && m_members.size() >= mostMembers) {
+        return;
+    }
+    member(now, endpoint).mark.mark(now + m_options.leavingMemory);
+}
+
+EndpointState EndpointPool::stateOf(TimePoint now, const Member &member) const
+{
+    if (!member.listed) {
+        return EndpointState::Gone;
+    }
+    return member.mark.inForce(now) ? EndpointState::Leaving : member.endpoint.state;
+}
+
+std::uint32_t EndpointPool::limitInForce(TimePoint now, const Member &member) const
+{
+    double limit = member.limit.limit();
+    if (member.coldSince) {
+        const double warmth = std::min(1.0, toSeconds(now - *member.coldSince) / toSeconds(m_options.warmUp));
+        limit *= m_options.coldShare + (1 - m_options.coldShare) * warmth;
+    }
+    if (member.speed.straggler()) {
+        limit = std::min(limit, slotsOf(member.endpoint) * member.speed.speed(now, m_medianSlowdown));
+    }
+    if (member.failures.onTrial()) {
+        const bool isUp = member.load.hasRunSince(member.failures.resumeAt(), m_options.trialAge, now);
+        limit = isUp ? limit * m_options.coldShare : 1;
+    }
+    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(limit));
+}
+
+std::uint32_t EndpointPool::loadOf(TimePoint now, const Member &member) const
+{
+    return member.load.inFlight() + member.load.elsewhere(now);
+}
+
+EndpointObstacle EndpointPool::obstacle(TimePoint now, const Member &member, std::uint64_t neededTokens) const
+{
+    const EndpointState state = stateOf(now, member);
+    if (state != EndpointState::Live) {
+        return state == EndpointState::Gone ? EndpointObstacle::Gone : EndpointObstacle::Leaving;
+    }
+    if (member.failures.waiting(now)) {
+        return EndpointObstacle::Failing;
     }
-    if (endpoint.kvTokens > 0 && member.inFlight > 0 && member.reservedTokens + needed > endpoint.kvTokens) {
-        return EndpointObstacle::MemoryFull;
+    if (loadOf(now, member) >= limitInForce(now, member)) {
+        return EndpointObstacle::AtLimit;
     }
-    return EndpointObstacle::None;
+    const std::uint64_t memory = member.endpoint.kvTokens;
+    const bool fits = memory == 0 || member.load.inFlight() == 0 || member.load.reservedTokens() + neededTokens <= memory;
+    return fits ? EndpointObstacle::None : EndpointObstacle::MemoryFull;
+}
+
+std::span<const std::uint64_t> EndpointPool::leading(std::span<const std::uint64_t> digests) const
+{
+    return digests.first(std::min(digests.size(), m_options.mostDigests));
 }
 
-std::optional<EndpointChoice> EndpointPool::choose(TimePoint now, const EndpointQuery &query)
+std::optional<EndpointChoice> EndpointPool::choose(TimePoint now, const EndpointQuery &query) const
 {
-    const Member *best = nullptr;
-    bool bestAvoided = true;
+    const PrefixIndex::Match match = m_index.match(now, leading(query.prefixDigests));
+    const std::uint64_t neededTokens = tokensOf(query.promptTokens, query.estimatedTokens);
+    std::optional<Candidate> best;
     for (const auto &[id, member] : m_members) {
-        if (obstacle(now, member, neededTokens(query.promptTokens, query.estimatedTokens)) != EndpointObstacle::None) {
+        if (obstacle(now, member, neededTokens) != EndpointObstacle::None) {
             continue;
         }
-        const bool avoided = std::find(query.avoid.begin(), query.avoid.end(), id) != query.avoid.end();
-        const bool better = best == nullptr || (bestAvoided && !avoided) || (bestAvoided == avoided && member.inFlight < best->inFlight);
-        if (better) {
-            best = &member;
-            bestAvoided = avoided;
+        Candidate candidate = weigh(now, query, member, match);
+        if (!best || goesBefore(candidate, *best)) {
+            best = std::move(candidate);
         }
     }
-    if (best == nullptr) {
-        return std::nullopt;
+    return best ? std::optional(best->choice) : std::nullopt;
+}
+
+EndpointPool::Candidate EndpointPool::weigh(TimePoint now, const EndpointQuery &query, const Member &member, const PrefixIndex::Match &match) const
+{
+    Candidate candidate;
+    EndpointChoice &choice = candidate.choice;
+    choice.endpoint = member.endpoint.id;
+    choice.expectedWait = fromSeconds(expectedWait(now, query, member));
+    choice.hopCost = m_options.hops.cost(query.entryDomain, member.endpoint.domain);
+    choice.reusedTokens = reusedTokens(query, member, match);
+    if (member.endpoint.kind == EndpointKind::Engine) {
+        choice.expectedPrefill = fromSeconds(m_prefillLine.slope() * (query.promptTokens - choice.reusedTokens));
+    }
+    choice.speed = member.speed.speed(now, m_medianSlowdown);
+    candidate.score = toSeconds(choice.expectedWait + choice.hopCost + choice.expectedPrefill) / choice.speed;
+    candidate.use = static_cast<double>(loadOf(now, member)) / limitInForce(now, member);
+    candidate.lastTurn = member.lastTurn;
+    candidate.avoided = std::find(query.avoid.begin(), query.avoid.end(), member.endpoint.id) != query.avoid.end();
+    candidate.probe = member.speed.straggler() && member.load.inFlight() == 0 && now - member.lastTaken >= m_options.speed.probeInterval;
+    return candidate;
+}
+
+bool EndpointPool::goesBefore(const Candidate &left, const Candidate &right)
+{
+    if (left.avoided != right.avoided) {
+        return right.avoided;
+    }
+    if (left.probe != right.probe) {
+        return left.probe;
+    }
+    if (left.score != right.score) {
+        return left.score < right.score;
+    }
+    if (left.use != right.use) {
+        return left.use < right.use;
+    }
+    return left.lastTurn < right.lastTurn;
+}
+
+double EndpointPool::expectedWait(TimePoint now, const EndpointQuery &query, const Member &member) const
+{
+    const double load = loadOf(now, member);
+    const double slots = slotsOf(member.endpoint);
+    if (member.endpoint.kind == EndpointKind::Service) {
+        const double usual = m_answerLine.known() ? m_answerLine.at(0) : toSeconds(m_options.serviceRise);
+        return usual * (load + 1) / slots;
+    }
+    const double tokens = std::max<std::uint32_t>(query.estimatedTokens, 1);
+    return m_options.streamWeight * tokens * m_tokenLine.slope() * load / slots;
+}
+
+std::uint32_t EndpointPool::reusedTokens(const EndpointQuery &query, const Member &member, const PrefixIndex::Match &match) const
+{
+    if (!member.holder) {
+        return 0;
     }
-    EndpointChoice choice;
-    choice.endpoint = best->endpoint.id;
-    choice.hopCost = m_options.hops.cost(query.entryDomain, best->endpoint.domain);
-    return choice;
+    const float tokens = match[*member.holder] * static_cast<float>(m_options.blockTokens);
+    return std::min(query.promptTokens, static_cast<std::uint32_t>(tokens));
 }
 
-void EndpointPool::reserve(TimePoint, const Reservation &reservation, std::span<const std::uint64_t>)
+void EndpointPool::reserve(TimePoint now, const Reservation &reservation, std::span<const std::uint64_t> prefixDigests)
 {
-    Member &member = m_members[reservation.endpoint];
-    member.endpoint.id = reservation.endpoint;
-    ++member.inFlight;
-    member.reservedTokens += neededTokens(reservation.promptTokens, reservation.estimatedTokens);
+    m_lastEvent = now;
+    Member &member = this->member(now, reservation.endpoint);
+    const std::span<const std::uint64_t> digests = leading(prefixDigests);
+    float expectedBlocks = 0;
+    if (member.holder) {
+        expectedBlocks = m_index.match(now, digests)[*member.holder];
+        m_index.learn(now, *member.holder, digests);
+    }
+    member.load.begin(now, reservation, {digests.begin(), digests.end()}, expectedBlocks);
+    member.lastTaken = now;
+    member.lastTurn = ++m_turn;
+    const auto tokens = static_cast<double>(tokensOf(reservation.promptTokens, reservation.estimatedTokens));
+    m_meanTokens = m_turn == 1 ? tokens : m_meanTokens + sizeGain * (tokens - m_meanTokens);
 }
 
-void EndpointPool::release(const Reservation &reservation)
+void EndpointPool::free(TimePoint now, const Reservation &reservation, const ServiceSample &sample)
 {
-    const auto found = m_members.find(reservation.endpoint);
-    if (found == m_members.end() || found->second.inFlight == 0) {
+    m_lastEvent = now;
+    Member *member = find(reservation.endpoint);
+    const std::optional<FinishedWork> work = member == nullptr ? std::nullopt : member->load.end(now, reservation);
+    if (!work) {
+        ++m_strayFrees;
         return;
     }
-    --found->second.inFlight;
-    const std::uint64_t tokens = neededTokens(reservation.promptTokens, reservation.estimatedTokens);
-    found->second.reservedTokens -= std::min(found->second.reservedTokens, tokens);
+    if (sample.failed) {
+        learnFailure(now, *member, *work);
+    } else {
+        learn(now, *member, reservation, sample, *work);
+    }
+    eraseForgotten(now);
 }
 
-void EndpointPool::free(TimePoint, const Reservation &reservation, const ServiceSample &)
+void EndpointPool::freeUnused(TimePoint now, const Reservation &reservation)
 {
-    release(reservation);
+    m_lastEvent = now;
+    Member *member = find(reservation.endpoint);
+    const std::optional<FinishedWork> work = member == nullptr ? std::nullopt : member->load.end(now, reservation);
+    if (!work) {
+        ++m_strayFrees;
+        return;
+    }
+    // Nothing was sent, so the endpoint holds no more of the prompt than it did before.
+    if (member->holder && work->expectedBlocks <= 0) {
+        m_index.forget(*member->holder, work->digests);
+    }
+    eraseForgotten(now);
 }
 
-void EndpointPool::freeUnused(TimePoint, const Reservation &reservation)
+void EndpointPool::learnFailure(TimePoint now, Member &member, const FinishedWork &work)
 {
-    release(reservation);
+    member.failures.onFailure(now);
+    if (member.holder) {
+        m_index.forget(*member.holder, work.digests);
+    }
 }
 
-void EndpointPool::update(TimePoint, std::span<const Endpoint> endpoints)
+void EndpointPool::learn(TimePoint now, Member &member, const Reservation &reservation, const ServiceSample &sample, const FinishedWork &work)
 {
-    for (auto &[id, member] : m_members) {
-        member.listed = false;
+    if (sample.firstToken <= Duration::zero()) {
+        return; // cancelled before the first token: tells nothing
     }
-    for (const Endpoint &endpoint : endpoints) {
-        Member &member = m_members[endpoint.id];
-        member.endpoint = endpoint;
-        member.listed = true;
-        if (endpoint.state != EndpointState::Live) {
-            member.leavingUntil.reset();
+    if (member.failures.onSuccess(work.start)) {
+        member.coldSince = now;
+    }
+    if (member.endpoint.kind == EndpointKind::Service) {
+        learnSpeed(now, member, m_answerLine, work.meanBatch, sample.firstToken, m_options.speed.serviceGain);
+        return;
+    }
+    const std::uint32_t computed = reservation.promptTokens - std::min(reservation.promptTokens, sample.reusedPromptTokens);
+    if (!member.speed.straggler()) {
+        m_prefillLine.observe(computed, toSeconds(sample.firstToken));
+    }
+    const Duration prefill = fromSeconds(m_prefillLine.slope() * computed);
+    member.limit.observe({work.meanBatch, sample.meanInterToken, sample.firstToken - prefill});
+    if (sample.meanInterToken > Duration::zero()) {
+        const double length = std::min(1.0, static_cast<double>(sample.tokens) / m_options.speed.fullTokens);
+        learnSpeed(now, member, m_tokenLine, work.meanBatch, sample.meanInterToken, m_options.speed.gain * length);
+    }
+    learnPrefix(now, member, sample, work);
+}
+
+void EndpointPool::learnSpeed(TimePoint now, Member &member, DecayedLine &line, double batch, Duration seen, double gain)
+{
+    const double use = batch / slotsOf(member.endpoint);
+    if (!member.speed.straggler()) {
+        line.observe(use, toSeconds(seen));
+    }
+    const double expected = line.at(use);
+    if (expected > 0) {
+        member.speed.observe(now, toSeconds(seen) / expected, gain);
+    }
+    refreshMedian(now);
+}
+
+void EndpointPool::learnPrefix(TimePoint now, Member &member, const ServiceSample &sample, const FinishedWork &work)
+{
+    if (!member.holder) {
+        return;
+    }
+    // An engine that never reports reuse says zero: no evidence against the index.
+    member.reportsReuse = member.reportsReuse || sample.reusedPromptTokens > 0;
+    if (member.reportsReuse) {
+        m_index.correct(*member.holder, work.expectedBlocks, static_cast<double>(sample.reusedPromptTokens) / m_options.blockTokens);
+    }
+    m_index.learn(now, *member.holder, work.digests);
+}
+
+void EndpointPool::refreshMedian(TimePoint now)
+{
+    std::vector<double> slowdowns;
+    slowdowns.reserve(m_members.size());
+    for (const auto &[id, member] : m_members) {
+        if (member.listed && member.speed.hasSamples()) {
+            slowdowns.push_back(member.speed.slowdown(now));
         }
     }
-    std::erase_if(m_members, [](const auto &entry) { return !entry.second.listed && entry.second.inFlight == 0 && !entry.second.leavingUntil; });
+    m_medianSlowdown = lowerMedian(slowdowns);
+    for (auto &[id, member] : m_members) {
+        member.speed.updateFlag(now, m_medianSlowdown);
+    }
+}
+
+std::size_t EndpointPool::placesOf(TimePoint now, const Member &member) const
+{
+    if (obstacle(now, member, 0) != EndpointObstacle::None) {
+        return 0;
+    }
+    const std::size_t places = limitInForce(now, member) - loadOf(now, member);
+    const std::uint64_t memory = member.endpoint.kvTokens;
+    if (memory == 0 || m_meanTokens <= 0) {
+        return places;
+    }
+    const auto left = static_cast<double>(memory - std::min(memory, member.load.reservedTokens()));
+    return std::clamp<std::size_t>(static_cast<std::size_t>(left / m_meanTokens), 1, places);
 }
 
 std::size_t EndpointPool::freePlaces(TimePoint now) const
 {
     std::size_t places = 0;
     for (const auto &[id, member] : m_members) {
-        if (obstacle(now, member, 0) == EndpointObstacle::None) {
-            places += member.endpoint.slots - member.inFlight;
-        }
+        places += placesOf(now, member);
     }
     return places;
 }
 
 bool EndpointPool::hasTakers() const
 {
-    return std::any_of(m_members.begin(), m_members.end(), [](const auto &entry) {
-        const Member &member = entry.second;
-        return member.listed && member.endpoint.state == EndpointState::Live && !member.leavingUntil;
-    });
-}
-
-void EndpointPool::loadReport(TimePoint, const LoadReport &)
-{
+    return std::any_of(m_members.begin(), m_members.end(), [this](const auto &entry) { return stateOf(m_lastEvent, entry.second) == EndpointState::Live; });
 }
 
-void EndpointPool::cacheEvent(TimePoint, const CacheEvent &)
+void EndpointPool::loadReport(TimePoint now, const LoadReport &report)
 {
+    m_lastEvent = now;
+    Member *member = find(report.endpoint);
+    if (member == nullptr) {
+        return;
+    }
+    member->load.report(now, report);
+    if (report.waiting > 0 && report.age <= m_options.reportWindow) {
+        member->limit.engineQueues(report.running);
+    }
 }
 
-void EndpointPool::markLeaving(TimePoint now, const EndpointId &endpoint)
+void EndpointPool::cacheEvent(TimePoint now, const CacheEvent &event)
 {
-    Member &member = m_members[endpoint];
-    member.endpoint.id = endpoint;
-    member.leavingUntil = now + m_options.leavingMemory;
+    m_lastEvent = now;
+    Member *member = find(event.endpoint);
+    if (member != nullptr && member->holder) {
+        m_index.apply(now, *member->holder, event);
+    }
 }
 
 std::vector<EndpointStatus> EndpointPool::status(TimePoint now) const
 {
     std::vector<EndpointStatus> all;
+    all.reserve(m_members.size());
     for (const auto &[id, member] : m_members) {
         EndpointStatus one;
         one.endpoint = id;
-        one.state = member.listed ? member.endpoint.state : EndpointState::Gone;
-        one.limit = member.endpoint.slots;
-        one.inFlight = member.inFlight;
-        one.reservedTokens = member.reservedTokens;
+        one.state = stateOf(now, member);
+        one.limit = limitInForce(now, member);
+        one.inFlight = member.load.inFlight();
+        one.elsewhere = member.load.elsewhere(now);
+        one.reservedTokens = member.load.reservedTokens();
+        one.speed = member.speed.speed(now, m_medianSlowdown);
+        one.straggler = member.speed.straggler();
         one.obstacle = obstacle(now, member, 0);
-        all.push_back(one);
+        all.push_back(std::move(one));
     }
     return all;
 }
--- a/src/routing/endpointpool.h
+++ b/src/routing/endpointpool.h
@@ -1,11 +1,47 @@
 #pragma once
 
 // The endpoints of one shard: which one should run the next piece of work, and what was learned of each.
+//
+// An EndpointPool is held by the shard's arbiter (EndpointChooser). It is told of everything that bears on the
+// choice and reads no clock. Among the endpoints that may take the work it chooses the lowest
+//
+//     score = (expected wait + hop cost + expected prefill) / speed                             [seconds]
+//
+//     expected wait    engine:  streamWeight x output tokens x rise x load / slots
+//                      service: usual answer time x (load + 1) / slots
+//         where `rise` is by how much a batch of `slots` slows each token (fitted over the pool), and load is
+//         our work in flight plus what reports show from elsewhere. A slower stream is weighed at a tenth of a
+//         late first token, for that is what callers wait for.
+//     hop cost         round trip between the entry host's failure domain and the endpoint's, from a table.
+//                      The way from the client to the entry host is the same for every choice and left out.
+//     expected prefill prefill time of a token (fitted over the pool) x prompt tokens not expected in the cache
+//     speed            seen speed relative to the pool's median (speedmodel.h); below 1 is slower
+//
+// Equal scores go to the lower load for its limit, then to the endpoint that waited longest for work.
+//
+// An endpoint may take work when it is live on the host list, not marked as leaving, not waiting after
+// failures, below its limit and within its KV memory. The limit is the adaptive one (adaptivelimit.h), cut
+// while the endpoint is cold (new after the pool's start, or just back), a straggler, or on trial after
+// failures. KV memory is reserved as prompt plus estimated output; work that is larger than the whole memory
+// is taken by an idle endpoint only. An endpoint on the query's avoid list is taken only when no other one can
+// take the work now.
+//
+// Bound from a leaving signal to the last new work: none is chosen after markLeaving() or update() returned.
+//
+// Cost: choose() is one pass over the endpoints and one hash look-up a digest; about 10 us at 50 endpoints.
+// Limits: prefix affinity covers PrefixIndex::maxHolders endpoints; further ones are chosen without it.
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "routing/adaptivelimit.h"
+#include "routing/decayedline.h"
 #include "routing/endpoint.h"
 #include "routing/endpointchoice.h"
+#include "routing/endpointload.h"
+#include "routing/failurewait.h"
+#include "routing/leavingmark.h"
+#include "routing/prefixindex.h"
+#include "routing/speedmodel.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -31,7 +67,23 @@
 struct EndpointPoolOptions
 {
     HopCosts hops;
+    AdaptiveLimitOptions limit;
+    SpeedOptions speed;
+    PrefixIndexOptions prefix;
     Duration leavingMemory = 60s; ///< a leaving signal outweighs a lagging "live" of the host list for this long
+    Duration startGrace = 5s; ///< endpoints listed this soon after the pool's start are held to be warm
+    Duration warmUp = 10s; ///< from coldShare of the limit to all of it
+    double coldShare = 0.25;
+    Duration firstFailureWait = 1s;
+    Duration mostFailureWait = 30s;
+    Duration trialAge = 2s; ///< work that has run this long on trial shows that the endpoint is up
+    Duration reportWindow = 3s; ///< load reports count for this long
+    Duration prefillPerToken = 200us; ///< until enough first tokens were seen
+    Duration batchRise = 38ms; ///< rise of the inter-token time from an idle engine to one at its slots, likewise
+    Duration serviceRise = 100ms; ///< of a plain service's answer time, likewise
+    double streamWeight = 0.1; ///< seconds of late first token that one second of longer stream is worth
+    std::uint32_t blockTokens = 64; ///< prompt tokens in one cache block, at about 4 bytes a token
+    std::size_t mostDigests = 256; ///< digests of a prompt that are looked at: 64 KB of text
 };
 
 /** Why an endpoint would get no work now. */
@@ -48,9 +100,10 @@
 struct EndpointStatus
 {
     EndpointId endpoint;
-    EndpointState state = EndpointState::Live;
-    std::uint32_t limit = 0; ///< in force now, warm-up and straggler cut included
+    EndpointState state = EndpointState::Live; ///< marks included
+    std::uint32_t limit = 0; ///< in force now: the adaptive limit with all cuts
     std::uint32_t inFlight = 0;
+    std::uint32_t elsewhere = 0; ///< work of others, by its reports
     std::uint64_t reservedTokens = 0; ///< prompt and estimated output of the work in flight
     double speed = 1.0; ///< relative to the pool's median
     bool straggler = false;
@@ -62,34 +115,95 @@
 public:
     EndpointPool(EndpointPoolOptions options, TimePoint now);
 
-    std::optional<EndpointChoice> choose(TimePoint now, const EndpointQuery &query);
+    /** None: no endpoint can take the work now. Changes nothing; reserve() does. */
+    std::optional<EndpointChoice> choose(TimePoint now, const EndpointQuery &query) const;
+    /** Counts the work whatever the limits are, since a new arbiter takes over what already runs. */
     void reserve(TimePoint now, const Reservation &reservation, std::span<const std::uint64_t> prefixDigests);
+    /** The sample's firstToken is a plain service's answer time. A second free of the same work is ignored and counted. */
     void free(TimePoint now, const Reservation &reservation, const ServiceSample &sample);
     void freeUnused(TimePoint now, const Reservation &reservation);
+    /** Endpoints that are not listed any more are gone; their work in flight stays counted until it is freed. */
     void update(TimePoint now, std::span<const Endpoint> endpoints);
+    /** Places for work of usual size; zero exactly when choose() would take no work of any size. */
     std::size_t freePlaces(TimePoint now) const;
     bool hasTakers() const;
 
     void loadReport(TimePoint now, const LoadReport &report);
     void cacheEvent(TimePoint now, const CacheEvent &event);
+    /** The endpoint said itself, or a peer or an operator said, that it is leaving (see leavingmark.h). Repeat while it holds. */
     void markLeaving(TimePoint now, const EndpointId &endpoint);
+
     std::vector<EndpointStatus> status(TimePoint now) const;
+    /** Frees of work that was not in flight; not zero hints at doubled releases. */
+    std::uint64_t strayFrees() const
+    {
+        return m_strayFrees;
+    }
 
 private:
     struct Member
     {
         Endpoint endpoint;
-        std::uint32_t inFlight = 0;
-        std::uint64_t reservedTokens = 0;
-        std::optional<TimePoint> leavingUntil;
         bool listed = false;
+        LeavingMark mark;
+        EndpointLoad load;
+        AdaptiveLimit limit;
+        EndpointSpeed speed;
+        FailureWait failures;
+        std::optional<TimePoint> coldSince;
+        std::optional<PrefixIndex::Holder> holder;
+        TimePoint lastTaken{};
+        std::uint64_t lastTurn = 0;
+        bool reportsReuse = false;
+    };
+    struct Candidate
+    {
+        EndpointChoice choice;
+        double score = 0;
+        double use = 0; ///< load over limit
+        std::uint64_t lastTurn = 0;
+        bool avoided = false;
+        bool probe = false; ///< finds out whether a straggler has healed
     };
 
+    Member &member(TimePoint now, const EndpointId &id);
+    Member *find(const EndpointId &id);
+    void list(TimePoint now, const Endpoint &endpoint);
+    void unlist(Member &member);
+    void resetLearned(Member &member);
+    void eraseForgotten(TimePoint now);
+
+    EndpointState stateOf(TimePoint now, const Member &member) const;
+    std::uint32_t limitInForce(TimePoint now, const Member &member) const;
+    std::uint32_t loadOf(TimePoint now, const Member &member) const;
     EndpointObstacle obstacle(TimePoint now, const Member &member, std::uint64_t neededTokens) const;
-    void release(const Reservation &reservation);
+    std::size_t placesOf(TimePoint now, const Member &member) const;
+
+    Candidate weigh(TimePoint now, const EndpointQuery &query, const Member &member, const PrefixIndex::Match &match) const;
+    static bool goesBefore(const Candidate &left, const Candidate &right);
+    double expectedWait(TimePoint now, const EndpointQuery &query, const Member &member) const;
+    std::uint32_t reusedTokens(const EndpointQuery &query, const Member &member, const PrefixIndex::Match &match) const;
+    std::span<const std::uint64_t> leading(std::span<const std::uint64_t> digests) const;
+
+    void learn(TimePoint now, Member &member, const Reservation &reservation, const ServiceSample &sample, const FinishedWork &work);
+    void learnFailure(TimePoint now, Member &member, const FinishedWork &work);
+    void learnSpeed(TimePoint now, Member &member, DecayedLine &line, double batch, Duration seen, double gain);
+    void learnPrefix(TimePoint now, Member &member, const ServiceSample &sample, const FinishedWork &work);
+    void refreshMedian(TimePoint now);
 
     EndpointPoolOptions m_options;
+    TimePoint m_start;
+    TimePoint m_lastEvent;
     std::map<EndpointId, Member> m_members;
+    std::uint64_t m_freeHolders = ~std::uint64_t{0};
+    PrefixIndex m_index;
+    DecayedLine m_tokenLine; ///< inter-token seconds over batch / slots
+    DecayedLine m_answerLine; ///< a plain service's answer seconds over batch / slots
+    DecayedLine m_prefillLine; ///< first-token seconds over prompt tokens not reused
+    double m_medianSlowdown = 1.0;
+    double m_meanTokens = 0; ///< tokens of a usual reservation
+    std::uint64_t m_turn = 0;
+    std::uint64_t m_strayFrees = 0;
 };
 
 static_assert(EndpointChooser<EndpointPool>);
