--- a/src/standins/engineserver.cpp
+++ b/src/standins/engineserver.cpp
@@ -148,7 +148,7 @@
     } else if (posts && path == "/standin/faults") {
         handleFaults(request, connection);
     } else if (path == "/standin/counters") {
-        connection->reply(jsonReply(Http::status::ok, m_counters.toJson(), headers()));
+        connection->reply(countersReply());
     } else {
         connection->reply(errorReply(Http::status::not_found, "no such path", headers()));
     }
@@ -288,6 +288,15 @@
                      headers());
 }
 
+template <Clock ClockType>
+StandinReply EngineServer<ClockType>::countersReply() const
+{
+    boost::json::object counters = m_counters.toJson();
+    counters["running"] = m_model.running();
+    counters["waiting"] = m_model.waiting();
+    return jsonReply(Http::status::ok, counters, headers());
+}
+
 template <Clock ClockType>
 StandinReply EngineServer<ClockType>::stateReply() const
 {
--- a/src/standins/engineserver.h
+++ b/src/standins/engineserver.h
@@ -72,6 +72,8 @@
     void handleOrder(const StandinRequest &request, const ConnectionPointer &connection);
     void handleFaults(const StandinRequest &request, const ConnectionPointer &connection);
     StandinReply loadReply() const;
+    /** RunCounters::toJson() and what runs and waits at this moment. */
+    StandinReply countersReply() const;
     StandinReply stateReply() const;
     StandinReply cacheEventsReply(std::string_view target) const;
     StandinReply refusalReply(EngineRefusal refusal) const;
