Drive decisions over platform objects by one session

Cause: switch, apply and resolved writes all read and write objects step by step. Change: PlatformStep names the steps, PlatformSequence drives any PlatformDecision. Contract tests wait for what they need instead of a stretch of time.

--- a/src/platform/resolvedwrite_test.cpp
+++ b/src/platform/resolvedwrite_test.cpp
@@ -68,11 +68,11 @@
     LossyObject store;
     ResolvedWrite write = writer("mine", WriteCondition::absent());
     const TimePoint now(1h);
-    CHECK(write.start(now).kind == WriteStep::Kind::Put);
-    REQUIRE(store.put(write.request()).has_value());
-    CHECK(write.onWritten(error<ObjectVersion>(PlatformErrorKind::Unknown), now).kind == WriteStep::Kind::Wait);
-    CHECK(write.onWaited(now).kind == WriteStep::Kind::Get);
-    CHECK(write.onRead(store.get(), now).kind == WriteStep::Kind::Done);
+    CHECK(write.start(now).kind == PlatformStep::Kind::Put);
+    REQUIRE(store.put(write.writeRequest()).has_value());
+    CHECK(write.onWritten(error<ObjectVersion>(PlatformErrorKind::Unknown), now).kind == PlatformStep::Kind::Wait);
+    CHECK(write.onWaited(now).kind == PlatformStep::Kind::Get);
+    CHECK(write.onRead(store.get(), now).kind == PlatformStep::Kind::Done);
     CHECK(write.result().outcome == WriteOutcome::Applied);
     CHECK(write.result().version == 1);
 }
@@ -82,14 +82,14 @@
     struct Row
     {
         PlatformErrorKind kind;
-        WriteStep::Kind next;
+        PlatformStep::Kind next;
     };
     const Row row = GENERATE(values<Row>({
-        {PlatformErrorKind::Conflict, WriteStep::Kind::Get},
-        {PlatformErrorKind::Refused, WriteStep::Kind::Done},
-        {PlatformErrorKind::Unreachable, WriteStep::Kind::Wait},
-        {PlatformErrorKind::OverBudget, WriteStep::Kind::Wait},
-        {PlatformErrorKind::Unknown, WriteStep::Kind::Wait},
+        {PlatformErrorKind::Conflict, PlatformStep::Kind::Get},
+        {PlatformErrorKind::Refused, PlatformStep::Kind::Done},
+        {PlatformErrorKind::Unreachable, PlatformStep::Kind::Wait},
+        {PlatformErrorKind::OverBudget, PlatformStep::Kind::Wait},
+        {PlatformErrorKind::Unknown, PlatformStep::Kind::Wait},
     }));
     ResolvedWrite write = writer("mine", WriteCondition::absent());
     write.start(TimePoint(1h));
@@ -119,10 +119,10 @@
         LossyObject store;
         store.object = StoredObject{"k", ++store.revision, "base"};
         std::vector<ResolvedWrite> writers{writer("a", WriteCondition::atVersion(1)), writer("b", WriteCondition::atVersion(1))};
-        std::vector<WriteStep> steps{writers[0].start(TimePoint(1h)), writers[1].start(TimePoint(1h))};
+        std::vector<PlatformStep> steps{writers[0].start(TimePoint(1h)), writers[1].start(TimePoint(1h))};
         std::vector<WriteRequest> late;
         TimePoint now(1h);
-        const auto pending = [&] { return std::ranges::any_of(steps, [](const WriteStep &step) { return step.kind != WriteStep::Kind::Done; }); };
+        const auto pending = [&] { return std::ranges::any_of(steps, [](const PlatformStep &step) { return step.kind != PlatformStep::Kind::Done; }); };
         for (int i = 0; i < 400 && pending(); ++i) {
             now += 10ms;
             const std::size_t who = *rc::gen::inRange<std::size_t>(0, 2);
@@ -132,15 +132,15 @@
                 store.arrive(late.back());
                 late.pop_back();
             }
-            if (steps[who].kind == WriteStep::Kind::Wait) {
+            if (steps[who].kind == PlatformStep::Kind::Wait) {
                 steps[who] = write.onWaited(now);
-            } else if (steps[who].kind == WriteStep::Kind::Get) {
+            } else if (steps[who].kind == PlatformStep::Kind::Get) {
                 steps[who] = write.onRead(fate == 0 ? error<StoredObject>(PlatformErrorKind::Unknown) : store.get(), now);
-            } else if (steps[who].kind == WriteStep::Kind::Put) {
+            } else if (steps[who].kind == PlatformStep::Kind::Put) {
                 if (fate == 0) {
-                    late.push_back(write.request());
+                    late.push_back(write.writeRequest());
                 }
-                const PlatformResult<ObjectVersion> answer = fate == 0 ? error<ObjectVersion>(PlatformErrorKind::Unknown) : store.put(write.request());
+                const PlatformResult<ObjectVersion> answer = fate == 0 ? error<ObjectVersion>(PlatformErrorKind::Unknown) : store.put(write.writeRequest());
                 steps[who] = write.onWritten(fate == 1 ? error<ObjectVersion>(PlatformErrorKind::Unknown) : answer, now);
             }
         }
@@ -149,9 +149,9 @@
         }
         RC_ASSERT(store.written.size() <= 1U);
         for (std::size_t who = 0; who < writers.size(); ++who) {
-            const bool landed = !store.written.empty() && store.written.front() == writers[who].request().value;
+            const bool landed = !store.written.empty() && store.written.front() == writers[who].writeRequest().value;
             const WriteOutcome outcome = writers[who].result().outcome;
-            if (steps[who].kind == WriteStep::Kind::Done && outcome != WriteOutcome::Unresolved) {
+            if (steps[who].kind == PlatformStep::Kind::Done && outcome != WriteOutcome::Unresolved) {
                 RC_ASSERT((outcome == WriteOutcome::Applied) == landed);
             }
         }
--- a/src/standins/platformcontract_test.cpp
+++ b/src/standins/platformcontract_test.cpp
@@ -2,7 +2,8 @@
 // run on the manual clock, so that no verdict depends on how fast the machine is.
 
 #include "platform/objectclient.h"
-#include "platform/resolvedwritesession.h"
+#include "platform/platformsequence.h"
+#include "platform/resolvedwrite.h"
 #include "standins/platformserver.h"
 
 #include <boost/asio.hpp>
@@ -37,11 +38,7 @@
     template <class T>
     T await(const std::optional<T> &result)
     {
-        const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + hangLimit;
-        while (!result && std::chrono::steady_clock::now() < end) {
-            context.run_one_for(std::chrono::milliseconds(20));
-        }
-        REQUIRE(result);
+        runUntil([&] { return result.has_value(); });
         return *result;
     }
 
@@ -73,11 +70,15 @@
         return await(result);
     }
 
-    /** Lets everything that is ready happen, then moves time on. */
-    void pass(Duration duration)
+    /** Runs until the condition holds; fails on a hang. */
+    template <class Condition>
+    void runUntil(Condition condition)
     {
-        context.run_for(std::chrono::milliseconds(50));
-        ManualClock::advance(duration);
+        const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + hangLimit;
+        while (!condition() && std::chrono::steady_clock::now() < end) {
+            context.run_one_for(std::chrono::milliseconds(20));
+        }
+        REQUIRE(condition());
     }
 
     boost::asio::io_context context{1};
@@ -202,7 +203,8 @@
     bench.client->get("a", Bench::into(read));
     bench.client->put("b", "1", WriteCondition::absent(), Bench::into(write));
     if (row.passes > Duration::zero()) {
-        bench.pass(row.passes);
+        bench.runUntil([&] { return bench.server->counters().reads == 1 && bench.server->counters().writes == 2; });
+        ManualClock::advance(row.passes);
     }
     CHECK(bench.await(read).error().kind == row.read);
     CHECK(bench.await(write).error().kind == row.write);
@@ -229,8 +231,9 @@
     std::optional<PlatformResult<WatchBatch>> watched;
     bench.client->watch("preset/", 0, 2s, Bench::into(watched));
     CHECK(bench.put("a", "1", WriteCondition::absent()).has_value());
-    bench.pass(2s);
-    bench.context.run_for(std::chrono::milliseconds(20));
+    bench.runUntil([&] { return bench.server->counters().watches == 1; });
+    ManualClock::advance(2s);
+    bench.context.poll();
     CHECK_FALSE(watched);
     ManualClock::advance(bench.options.watchGrace);
     CHECK(bench.await(watched).error().kind == PlatformErrorKind::Unknown);
@@ -288,7 +291,8 @@
     bench.client->put("b", "1", WriteCondition::absent(), Bench::into(queued));
     bench.client->get("c", Bench::into(refused));
     CHECK(bench.await(refused).error().kind == PlatformErrorKind::OverBudget);
-    bench.pass(bench.options.callTimeout);
+    bench.runUntil([&] { return bench.server->counters().reads == 1; });
+    ManualClock::advance(bench.options.callTimeout);
     CHECK(bench.await(running).error().kind == PlatformErrorKind::Unknown);
     CHECK(bench.await(queued).error().kind == PlatformErrorKind::Unreachable);
     CHECK(bench.server->store().find("b") == nullptr);
@@ -334,7 +338,7 @@
     Bench bench;
     bench.server->setFaults(faultsWith([](PlatformFaults &faults) { faults.loseAnswers = 0.6; }));
     const FindOperation whole = [](std::string_view value) { return OperationId(std::string(value)); };
-    using Session = ResolvedWriteSession<ManualClock, ObjectClient<ManualClock>>;
+    using Session = PlatformSequence<ManualClock, ObjectClient<ManualClock>, ResolvedWrite>;
     for (int i = 0; i < 10; ++i) {
         const std::string key = "k" + std::to_string(i);
         std::optional<WriteResult> result;
