Keep one preset in force everywhere, and switch it by conditional update

Cause: an accepted preset must be in force on every host within seconds and never revert. Ruled out: membership alone as the way of spread (its interval bounds the time), and watches by every host (each counts against the platform's rate). Conclusion: over arbitrary interleavings of switches, restarts, cuts, outages and lost answers no host's version falls, results told are true, and all hosts converge.

--- /dev/null
+++ b/src/preset/presetfleet_test.cpp
@@ -0,0 +1,408 @@
+// A few hosts' preset cores over a fake store and fake links on virtual time: what holds whatever the order of
+// switches, restarts, cuts and lost answers.
+
+#include "preset/presetfakes.h"
+#include "preset/presetspread.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+
+using namespace Rhubarbwind;
+using namespace Rhubarbwind::Testing;
+
+namespace
+{
+
+constexpr std::size_t fleetSize = 6;
+constexpr Duration tick = 50ms;
+constexpr Duration watchGrace = 1s;
+constexpr Duration gossipInterval = 500ms; ///< how often a host hears of a random other's version by membership
+
+std::vector<PresetPeer> fleet()
+{
+    std::vector<PresetPeer> peers;
+    for (std::size_t i = 0; i < fleetSize; ++i) {
+        peers.push_back({HostId("h" + std::to_string(i)), FailureDomain("d" + std::to_string(i % 3))});
+    }
+    return peers;
+}
+
+std::size_t indexOf(const HostId &host)
+{
+    return static_cast<std::size_t>(host.text().back() - '0');
+}
+
+struct WaitingWatch
+{
+    std::uint64_t after = 0;
+    TimePoint until;
+    bool silent = false;
+};
+
+struct Host
+{
+    Host(std::size_t index, std::uint64_t seed, TimePoint now)
+        : spread({}, seed, now)
+        , index(index)
+    {
+        spread.setHosts(HostId("h" + std::to_string(index)), fleet(), now);
+    }
+
+    PresetHolder holder;
+    PresetSpread spread;
+    std::size_t index;
+    std::optional<WaitingWatch> watch;
+    std::uint64_t life = 0; ///< counts restarts; late answers of a former life are dropped
+};
+
+/** An operator's switch under way at a host. */
+struct RunningSwitch
+{
+    PresetSwitch decision;
+    PlatformStep step;
+    OperationId operation;
+    TimePoint waitUntil;
+};
+
+class Fleet
+{
+public:
+    explicit Fleet(std::uint64_t seed)
+        : m_random(seed)
+    {
+        for (std::size_t i = 0; i < fleetSize; ++i) {
+            m_hosts.emplace_back(i, seed + i, m_now);
+        }
+    }
+
+    void startSwitch(std::size_t at)
+    {
+        const OperationId operation("op" + std::to_string(++m_operations));
+        SwitchOrder order{PresetName("ordinary"), OperatorName("ada"), operation, m_hosts[at].holder.version(), 0, {}};
+        PresetSwitch decision(std::move(order), {}, m_operations);
+        const PlatformStep step = decision.start(m_now);
+        m_switches.push_back({std::move(decision), step, operation, m_now});
+    }
+
+    void restart(std::size_t index)
+    {
+        const std::uint64_t life = m_hosts[index].life + 1;
+        m_hosts[index] = Host(index, m_random.engine()(), m_now);
+        m_hosts[index].life = life;
+    }
+
+    /** One step of virtual time: delivers what is due, lets every host and switch act. */
+    void pass()
+    {
+        m_now += tick;
+        std::vector<std::function<void()>> due = std::exchange(m_inFlight, {});
+        std::ranges::shuffle(due, m_random.engine());
+        for (const std::function<void()> &deliver : due) {
+            deliver();
+        }
+        gossip();
+        for (Host &host : m_hosts) {
+            endWatch(host);
+            for (const SpreadAction &action : host.spread.advance(m_now)) {
+                carryOut(host, action);
+            }
+        }
+        for (RunningSwitch &running : m_switches) {
+            stepSwitch(running);
+        }
+    }
+
+    void passFor(Duration duration)
+    {
+        for (const TimePoint end = m_now + duration; m_now < end;) {
+            pass();
+        }
+    }
+
+    bool converged() const
+    {
+        const PresetVersion version = store.inForce().version;
+        return std::ranges::all_of(m_hosts, [&](const Host &host) { return host.holder.version() == version; });
+    }
+
+    const std::vector<Host> &hosts() const
+    {
+        return m_hosts;
+    }
+    const std::vector<RunningSwitch> &switches() const
+    {
+        return m_switches;
+    }
+
+    FakeStore store = storeWith({"ordinary"});
+    std::set<OperationId> applied; ///< operations that were in force in the store
+    bool fell = false; ///< some host's version went down
+    // Faults, changed by the test.
+    bool platformDown = false;
+    double loss = 0.0; ///< of calls and frames, before or after their effect
+    bool silentWatches = false;
+    std::set<std::size_t> cutOff; ///< hosts without links to peers and platform
+
+private:
+    bool lost()
+    {
+        return m_random.uniform() < loss;
+    }
+    bool reaches(const Host &host) const
+    {
+        return !platformDown && !cutOff.contains(host.index);
+    }
+    bool linked(std::size_t left, std::size_t right) const
+    {
+        return !cutOff.contains(left) && !cutOff.contains(right);
+    }
+
+    /** Delivers at the next tick, unless the host restarts before. */
+    void later(std::size_t index, std::function<void(Host &)> event)
+    {
+        m_inFlight.push_back([this, index, life = m_hosts[index].life, event = std::move(event)] {
+            if (m_hosts[index].life == life) {
+                event(m_hosts[index]);
+            }
+        });
+    }
+
+    void gossip()
+    {
+        if ((m_now - m_started) % gossipInterval != Duration::zero()) {
+            return;
+        }
+        for (Host &host : m_hosts) {
+            const std::size_t other = m_random.below(fleetSize);
+            if (linked(host.index, other) && !lost()) {
+                host.spread.heard(peerName(other), m_hosts[other].holder.version(), m_now);
+            }
+        }
+    }
+
+    static HostId peerName(std::size_t index)
+    {
+        return HostId("h" + std::to_string(index));
+    }
+
+    void adopt(Host &host, const PresetInForce &offered, std::optional<PresetVersion> heldAtAsk)
+    {
+        const PresetVersion before = host.holder.version();
+        const PresetPointer pointer = std::make_shared<const PresetInForce>(offered);
+        const PresetOffer offer = heldAtAsk ? host.holder.offerFromPlatform(pointer, *heldAtAsk) : host.holder.offerFromPeer(pointer);
+        fell = fell || host.holder.version() < before;
+        if (offer == PresetOffer::Adopted) {
+            host.spread.adopted(offered.version, m_now);
+        }
+    }
+
+    void carryOut(Host &host, const SpreadAction &action)
+    {
+        switch (action.kind) {
+        case SpreadAction::Kind::ReadPlatform:
+            readPlatform(host);
+            return;
+        case SpreadAction::Kind::AskPeer:
+            askPeer(host, indexOf(action.peer));
+            return;
+        case SpreadAction::Kind::Watch:
+            host.watch = WaitingWatch{action.watchAfter, m_now + PresetSpreadOptions().watchWait, silentWatches || lost()};
+            return;
+        case SpreadAction::Kind::Announce:
+            announce(host, indexOf(action.peer));
+            return;
+        }
+    }
+
+    void readPlatform(Host &host)
+    {
+        const bool answered = reaches(host) && !lost();
+        const PlatformResult<StoredObject> read = store.get(presetInForceKey);
+        later(host.index, [this, answered, read, held = host.holder.version()](Host &self) {
+            if (!answered) {
+                self.spread.onPlatformRead(std::nullopt, m_now);
+                return;
+            }
+            if (read.has_value()) {
+                adopt(self, parsePresetInForce(read.value().value).value(), held);
+            }
+            self.spread.onPlatformRead(read.has_value() ? read.value().version : 0, m_now);
+        });
+    }
+
+    void askPeer(Host &host, std::size_t peer)
+    {
+        if (!linked(host.index, peer) || lost()) {
+            return;
+        }
+        const PresetPointer held = m_hosts[peer].holder.current();
+        later(host.index, [this, peer, held](Host &self) {
+            if (held != nullptr) {
+                adopt(self, *held, std::nullopt);
+            }
+            self.spread.onPeerAnswer(peerName(peer), held == nullptr ? 0 : held->version, m_now);
+        });
+    }
+
+    void announce(const Host &host, std::size_t peer)
+    {
+        if (linked(host.index, peer) && !lost()) {
+            later(peer, [this, from = host.index, version = host.holder.version()](Host &self) { self.spread.heard(peerName(from), version, m_now); });
+        }
+    }
+
+    void endWatch(Host &host)
+    {
+        if (!host.watch) {
+            return;
+        }
+        const PlatformResult<StoredObject> object = store.get(presetInForceKey);
+        const bool silent = host.watch->silent || !reaches(host);
+        const bool news = object.has_value() && object.value().version > host.watch->after;
+        if (silent && m_now < host.watch->until + watchGrace) {
+            return;
+        }
+        if (!silent && !news && m_now < host.watch->until) {
+            return;
+        }
+        host.watch.reset();
+        WatchBatch batch{{}, store.revision()};
+        if (news) {
+            batch.events.push_back({presetInForceKey, object.value().version, false});
+        }
+        host.spread.onWatch(silent ? platformError<WatchBatch>(PlatformErrorKind::Unknown) : PlatformResult<WatchBatch>(batch), m_now);
+    }
+
+    void stepSwitch(RunningSwitch &running)
+    {
+        PresetSwitch &decision = running.decision;
+        const bool down = platformDown;
+        switch (running.step.kind) {
+        case PlatformStep::Kind::Put: {
+            const bool lostBefore = lost();
+            const PlatformResult<ObjectVersion> written =
+                down || lostBefore ? platformError<ObjectVersion>(PlatformErrorKind::Unknown) : store.put(decision.writeRequest());
+            applied.insert(store.inForce().operation);
+            running.step = decision.onWritten(lost() ? platformError<ObjectVersion>(PlatformErrorKind::Unknown) : written, m_now);
+            break;
+        }
+        case PlatformStep::Kind::Get:
+            running.step = decision.onRead(down || lost() ? platformError<StoredObject>(PlatformErrorKind::Unknown) : store.get(decision.readKey()), m_now);
+            break;
+        case PlatformStep::Kind::Wait:
+            running.step = m_now >= running.waitUntil ? decision.onWaited(m_now) : running.step;
+            return;
+        case PlatformStep::Kind::Done:
+            return;
+        }
+        running.waitUntil = m_now + running.step.wait;
+    }
+
+    const TimePoint m_started = TimePoint(1h);
+    TimePoint m_now = m_started;
+    Random m_random;
+    std::vector<Host> m_hosts;
+    std::vector<RunningSwitch> m_switches;
+    std::vector<std::function<void()>> m_inFlight;
+    std::uint64_t m_operations = 0;
+};
+
+/** One arbitrary event of the outside, then some time. */
+void disturb(Fleet &fleet)
+{
+    const std::size_t host = *rc::gen::inRange<std::size_t>(0, fleetSize);
+    switch (*rc::gen::inRange(0, 8)) {
+    case 0:
+    case 1:
+        fleet.startSwitch(host);
+        break;
+    case 2:
+        fleet.restart(host);
+        break;
+    case 3:
+        fleet.cutOff.insert(host);
+        break;
+    case 4:
+        fleet.cutOff.erase(host);
+        break;
+    case 5:
+        fleet.platformDown = !fleet.platformDown;
+        break;
+    case 6:
+        fleet.loss = *rc::gen::element(0.0, 0.1, 0.5);
+        break;
+    default:
+        fleet.silentWatches = !fleet.silentWatches;
+        break;
+    }
+    fleet.passFor(tick * *rc::gen::inRange(1, 40));
+}
+
+bool toldTheTruth(const Fleet &fleet, const RunningSwitch &running)
+{
+    const ChangeOutcome outcome = running.decision.result().outcome;
+    if (running.step.kind != PlatformStep::Kind::Done || outcome == ChangeOutcome::Unresolved) {
+        return true;
+    }
+    return (outcome == ChangeOutcome::Accepted) == fleet.applied.contains(running.operation);
+}
+
+} // namespace
+
+// Operators see a change come and stay. Switches, restarts, cuts, outages, silent watches and lost answers come
+// in any order. No host's version may ever fall, nobody is told wrongly, and when the faults end all hosts hold
+// what the platform holds. Without the holder's rule a late answer or a lagging peer would bring the old back.
+TEST_CASE("applied versions never fall on any host, and all converge", "[config-monotonic]")
+{
+    rc::prop("any interleaving", [] {
+        Fleet fleet(*rc::gen::inRange<std::uint64_t>(1, 1'000'000));
+        const int events = *rc::gen::inRange(1, 25);
+        for (int i = 0; i < events; ++i) {
+            disturb(fleet);
+            RC_ASSERT(!fleet.fell);
+        }
+        fleet.platformDown = false;
+        fleet.loss = 0.0;
+        fleet.silentWatches = false;
+        fleet.cutOff.clear();
+        fleet.passFor(15s); // switches under way end within their 10 s
+        RC_ASSERT(!fleet.fell);
+        RC_ASSERT(fleet.converged());
+        for (const RunningSwitch &running : fleet.switches()) {
+            RC_ASSERT(toldTheTruth(fleet, running));
+        }
+    });
+}
+
+// An operator's change reaches every host in seconds. First the change is accepted, then faults take away one
+// way of learning of it after the other. Each of the other ways must be enough within 4 s.
+TEST_CASE("an accepted change is everywhere within 4 s though one way of learning is gone", "[config-monotonic]")
+{
+    const int fault = GENERATE(0, 1, 2, 3);
+    CAPTURE(fault);
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        Fleet fleet(seed * 100);
+        fleet.startSwitch(0);
+        fleet.passFor(5s);
+        REQUIRE(fleet.converged());
+        fleet.silentWatches = fault == 1;
+        fleet.loss = fault == 2 ? 0.2 : 0.0;
+        fleet.passFor(5s);
+        fleet.startSwitch(1);
+        while (fleet.store.inForce().version < 2) {
+            fleet.pass();
+        }
+        fleet.platformDown = fault == 3;
+        if (fault == 3) {
+            fleet.restart(1); // the host that took the change is gone with its memory
+        }
+        fleet.passFor(4s);
+        const bool someHostKnows = std::ranges::any_of(fleet.hosts(), [](const Host &host) { return host.holder.version() == 2; });
+        CAPTURE(seed);
+        CHECK((fleet.converged() || (fault == 3 && !someHostKnows)));
+    }
+}
--- /dev/null
+++ b/src/preset/presetspread.cpp
@@ -0,0 +1,259 @@
+// State is a due time for each kind of call and whether one is under way; events move the due times, advance()
+// turns what is due into actions. At most one call of each kind is under way, so the cost of a host is bounded
+// whatever it hears.
+//
+// Waits after a failure double with full jitter (AWS Architecture Blog, "Exponential Backoff and Jitter", 2015), so
+// that a fleet that lost the platform together does not return together.
+
+#include "preset/presetspread.h"
+
+#include "base/rendezvous.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Rhubarbwind
+{
+
+PresetSpread::PresetSpread(PresetSpreadOptions options, std::uint64_t seed, TimePoint now)
+    : m_options(options)
+    , m_random(seed)
+    , m_readAt(now)
+    , m_readBackoff(options.firstRetry, options.longestRetry)
+    , m_askAt(now)
+    , m_askBackoff(options.firstRetry, options.longestRetry)
+    , m_watchAt(now)
+    , m_watchBackoff(options.firstRetry, options.longestRetry)
+    , m_lastContact(now)
+    , m_settleBy(now + options.settleLimit)
+{
+}
+
+void PresetSpread::setHosts(const HostId &self, std::span<const PresetPeer> live, TimePoint now)
+{
+    m_self = self;
+    m_peers.clear();
+    std::map<FailureDomain, std::vector<HostId>> domains;
+    for (const PresetPeer &peer : live) {
+        domains[peer.domain].push_back(peer.host);
+        if (peer.host != self) {
+            m_peers.push_back(peer.host);
+        }
+    }
+    m_isWatcher = false;
+    for (const auto &[domain, hosts] : domains) {
+        const std::vector<HostId> watchers = rendezvousRank(hosts, "preset-watch/" + domain.text(), m_options.watchersPerDomain);
+        m_isWatcher = m_isWatcher || std::ranges::find(watchers, self) != watchers.end();
+    }
+    std::erase_if(m_heard, [this](const std::pair<const HostId, PresetVersion> &entry) { return std::ranges::find(m_peers, entry.first) == m_peers.end(); });
+    if (m_held == 0) {
+        m_askAt = std::min(m_askAt, now);
+    }
+}
+
+void PresetSpread::heard(const HostId &host, PresetVersion version, TimePoint now)
+{
+    if (host == m_self) {
+        return;
+    }
+    m_lastContact = std::max(m_lastContact, now);
+    if (m_heard.size() >= maxHeard && !m_heard.contains(host)) {
+        return;
+    }
+    const bool news = version > newestHeard() && version > m_held;
+    m_heard[host] = version;
+    if (news) {
+        m_askAt = now;
+        m_askBackoff.reset();
+        m_readAt = std::min(m_readAt, now + m_options.peerTimeout);
+    }
+}
+
+void PresetSpread::adopted(PresetVersion version, TimePoint now)
+{
+    m_held = version;
+    m_toAnnounce = true;
+    if (!isBehind() && m_platformAnswers) {
+        m_readAt = now + jitteredPoll();
+        m_askAt = m_readAt;
+    }
+}
+
+void PresetSpread::onPlatformRead(std::optional<ObjectVersion> revision, TimePoint now)
+{
+    m_reading = false;
+    const bool answeredBefore = std::exchange(m_platformAnswers, revision.has_value());
+    if (!revision) {
+        m_readAt = now + m_readBackoff.next(m_random);
+        m_askAt = answeredBefore ? now : m_askAt; // ask a peer in its place, then at its own pace
+        return;
+    }
+    m_lastContact = std::max(m_lastContact, now);
+    m_watchAfter = std::max(m_watchAfter, *revision);
+    if (m_readWanted) {
+        m_readAt = now;
+        return;
+    }
+    if (m_held == 0 || isBehind()) {
+        m_readAt = now + m_readBackoff.next(m_random);
+        return;
+    }
+    m_readBackoff.reset();
+    m_readAt = now + jitteredPoll();
+}
+
+void PresetSpread::onPeerAnswer(const HostId &host, PresetVersion itsVersion, TimePoint now)
+{
+    heard(host, itsVersion, now);
+    if (m_asked != host) {
+        return;
+    }
+    m_asked.reset();
+    if (isBehind() || m_held == 0) {
+        m_askAt = now + m_askBackoff.next(m_random);
+        return;
+    }
+    m_askBackoff.reset();
+    m_askAt = now + jitteredPoll();
+}
+
+void PresetSpread::onWatch(const PlatformResult<WatchBatch> &result, TimePoint now)
+{
+    m_watching = false;
+    if (result.has_error()) {
+        // The watch may have been silent while there was news: look by another connection at once.
+        m_watchAt = now + m_watchBackoff.next(m_random);
+        m_readWanted = true;
+        m_readAt = std::min(m_readAt, now);
+        return;
+    }
+    m_lastContact = std::max(m_lastContact, now);
+    m_watchBackoff.reset();
+    m_watchAt = now;
+    m_watchAfter = result.value().next;
+    if (!result.value().events.empty()) {
+        m_readWanted = true;
+        m_readAt = now;
+    }
+}
+
+SpreadActions PresetSpread::advance(TimePoint now)
+{
+    SpreadActions actions;
+    m_settled = m_settled || (m_held != 0 && !isBehind());
+    expirePeerQuestion(now);
+    advanceAnnouncements(actions);
+    advanceRead(now, actions);
+    advancePeer(now, actions);
+    advanceWatch(now, actions);
+    return actions;
+}
+
+TimePoint PresetSpread::nextTick() const
+{
+    TimePoint next = m_reading ? TimePoint::max() : m_readAt;
+    next = std::min(next, m_asked ? m_askedUntil : m_askAt);
+    if (m_isWatcher && !m_watching) {
+        next = std::min(next, m_watchAt);
+    }
+    return next;
+}
+
+bool PresetSpread::isReady(TimePoint now) const
+{
+    const bool settled = m_settled || now >= m_settleBy;
+    return m_held != 0 && settled && now - m_lastContact <= m_options.isolationLimit;
+}
+
+PresetVersion PresetSpread::newestHeard() const
+{
+    PresetVersion newest = 0;
+    for (const auto &[host, version] : m_heard) {
+        newest = std::max(newest, version);
+    }
+    return newest;
+}
+
+bool PresetSpread::isBehind() const
+{
+    return newestHeard() > m_held;
+}
+
+void PresetSpread::expirePeerQuestion(TimePoint now)
+{
+    if (m_asked && now >= m_askedUntil) {
+        m_asked.reset();
+        m_askAt = now + m_askBackoff.next(m_random);
+    }
+}
+
+void PresetSpread::advanceRead(TimePoint now, SpreadActions &actions)
+{
+    if (m_reading || now < m_readAt) {
+        return;
+    }
+    m_reading = true;
+    m_readWanted = false;
+    actions.push_back({SpreadAction::Kind::ReadPlatform, HostId(), 0});
+}
+
+void PresetSpread::advancePeer(TimePoint now, SpreadActions &actions)
+{
+    if (m_asked || now < m_askAt) {
+        return;
+    }
+    const bool urgent = isBehind() || m_held == 0;
+    const std::optional<HostId> peer = urgent || !m_platformAnswers ? choosePeer() : std::nullopt;
+    if (!peer) {
+        m_askAt = now + (urgent ? m_askBackoff.next(m_random) : jitteredPoll());
+        return;
+    }
+    m_asked = peer;
+    m_askedUntil = now + m_options.peerTimeout;
+    actions.push_back({SpreadAction::Kind::AskPeer, *peer, 0});
+}
+
+void PresetSpread::advanceWatch(TimePoint now, SpreadActions &actions)
+{
+    if (!m_isWatcher || m_watching || now < m_watchAt) {
+        return;
+    }
+    m_watching = true;
+    actions.push_back({SpreadAction::Kind::Watch, HostId(), m_watchAfter});
+}
+
+void PresetSpread::advanceAnnouncements(SpreadActions &actions)
+{
+    if (!m_toAnnounce) {
+        return;
+    }
+    m_toAnnounce = false;
+    std::vector<HostId> chosen;
+    std::ranges::sample(m_peers, std::back_inserter(chosen), static_cast<std::ptrdiff_t>(m_options.announceTo), m_random.engine());
+    for (const HostId &peer : chosen) {
+        actions.push_back({SpreadAction::Kind::Announce, peer, 0});
+    }
+}
+
+/** One of those that hold something newer; else any, for a host that holds nothing or lost the platform. */
+std::optional<HostId> PresetSpread::choosePeer()
+{
+    std::vector<HostId> newer;
+    for (const auto &[host, version] : m_heard) {
+        if (version > m_held) {
+            newer.push_back(host);
+        }
+    }
+    const std::vector<HostId> &from = newer.empty() ? m_peers : newer;
+    if (from.empty()) {
+        return std::nullopt;
+    }
+    return from[m_random.below(from.size())];
+}
+
+Duration PresetSpread::jitteredPoll()
+{
+    return fromSeconds(toSeconds(m_options.pollInterval) * (0.5 + m_random.uniform()));
+}
+
+} // namespace Rhubarbwind
--- /dev/null
+++ b/src/preset/presetspread_test.cpp
@@ -0,0 +1,168 @@
+#include "preset/presetfakes.h"
+#include "preset/presetframes.h"
+#include "preset/presetspread.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <deque>
+
+using namespace Rhubarbwind;
+using namespace Rhubarbwind::Testing;
+
+namespace
+{
+
+constexpr TimePoint start(1h);
+
+PresetPointer version(PresetVersion number, const std::string &operation = "op")
+{
+    return std::make_shared<const PresetInForce>(PresetInForce{number, OperationId(operation), OperatorName("ada"), 0, namedPreset("ordinary")});
+}
+
+HostId hostName(std::size_t index)
+{
+    return HostId("host-" + std::to_string(index));
+}
+
+std::vector<PresetPeer> fleet(std::size_t hosts)
+{
+    std::vector<PresetPeer> peers;
+    for (std::size_t i = 0; i < hosts; ++i) {
+        peers.push_back({hostName(i), FailureDomain("domain-" + std::to_string(i % 3))});
+    }
+    return peers;
+}
+
+bool has(const SpreadActions &actions, SpreadAction::Kind kind)
+{
+    return std::ranges::find(actions, kind, &SpreadAction::kind) != actions.end();
+}
+
+/** A host that holds version 1 and has nothing under way. */
+PresetSpread settledHost()
+{
+    PresetSpread spread({}, 5, start);
+    spread.setHosts(hostName(0), fleet(9), start);
+    spread.advance(start);
+    spread.adopted(1, start);
+    spread.onPlatformRead(1, start);
+    for (std::size_t i = 1; i < 9; ++i) {
+        spread.onPeerAnswer(hostName(i), 1, start);
+    }
+    spread.advance(start);
+    return spread;
+}
+
+} // namespace
+
+TEST_CASE("a host adopts only greater versions", "[config-monotonic]")
+{
+    PresetHolder holder;
+    CHECK(holder.offerFromPlatform(version(3), 0) == PresetOffer::Adopted);
+    CHECK(holder.offerFromPeer(version(2)) == PresetOffer::Older);
+    CHECK(holder.offerFromPlatform(version(2), 2) == PresetOffer::Older); // asked before version 3 came from a peer
+    CHECK(holder.offerFromPlatform(version(2), 3) == PresetOffer::WentBack);
+    CHECK(holder.offerFromPlatform(version(3), 3) == PresetOffer::Known);
+    CHECK(holder.offerFromPeer(version(3, "other")) == PresetOffer::Forked);
+    CHECK(holder.version() == 3);
+    CHECK(holder.offerFromPeer(version(4)) == PresetOffer::Adopted);
+}
+
+TEST_CASE("about two hosts of each failure domain watch, also after one is gone")
+{
+    for (const std::size_t gone : {99, 0, 4}) {
+        std::vector<PresetPeer> live = fleet(9);
+        std::erase_if(live, [&](const PresetPeer &peer) { return peer.host == hostName(gone); });
+        std::map<FailureDomain, int> watchers;
+        for (const PresetPeer &peer : live) {
+            PresetSpread spread({}, 1, start);
+            spread.setHosts(peer.host, live, start);
+            watchers[peer.domain] += spread.isWatcher() ? 1 : 0;
+        }
+        for (const auto &[domain, count] : watchers) {
+            CHECK(count == 2);
+        }
+    }
+}
+
+TEST_CASE("a starting host reads the platform and asks a peer at once, and is not ready before it has one")
+{
+    PresetSpread spread({}, 1, start);
+    spread.setHosts(hostName(0), fleet(9), start);
+    const SpreadActions actions = spread.advance(start);
+    CHECK(has(actions, SpreadAction::Kind::ReadPlatform));
+    CHECK(has(actions, SpreadAction::Kind::AskPeer));
+    CHECK_FALSE(spread.isReady(start));
+    spread.adopted(1, start);
+    spread.advance(start);
+    CHECK(spread.isReady(start));
+}
+
+TEST_CASE("a starting host that knows of a newer version waits for it, but not for ever")
+{
+    PresetSpread spread({}, 1, start);
+    spread.setHosts(hostName(0), fleet(9), start);
+    spread.heard(hostName(1), 5, start);
+    spread.adopted(4, start);
+    spread.advance(start);
+    CHECK_FALSE(spread.isReady(start));
+    CHECK(spread.isReady(start + PresetSpreadOptions().settleLimit));
+}
+
+TEST_CASE("a host that hears of a newer version asks that peer, then the platform")
+{
+    PresetSpread spread = settledHost();
+    spread.heard(hostName(3), 2, start + 100ms);
+    const SpreadActions actions = spread.advance(start + 100ms);
+    REQUIRE(has(actions, SpreadAction::Kind::AskPeer));
+    CHECK(std::ranges::find(actions, SpreadAction::Kind::AskPeer, &SpreadAction::kind)->peer == hostName(3));
+    CHECK_FALSE(has(actions, SpreadAction::Kind::ReadPlatform));
+    CHECK(has(spread.advance(start + 600ms), SpreadAction::Kind::ReadPlatform));
+}
+
+// The host learns of a change although its watch went silent. First the watch ends without an answer, then the
+// platform is read over another connection. Without that read the change would wait for the next slow poll.
+TEST_CASE("a watch that ended without an answer is followed by a read at once")
+{
+    PresetSpread spread = settledHost();
+    spread.onWatch(platformError<WatchBatch>(PlatformErrorKind::Unknown), start + 3s);
+    CHECK(has(spread.advance(start + 3s), SpreadAction::Kind::ReadPlatform));
+}
+
+TEST_CASE("news during a read leads to another read")
+{
+    PresetSpread spread = settledHost();
+    spread.onWatch(WatchBatch{{{presetInForceKey, 7, false}}, 7}, start + 1s);
+    CHECK(has(spread.advance(start + 1s), SpreadAction::Kind::ReadPlatform));
+    spread.onWatch(WatchBatch{{{presetInForceKey, 8, false}}, 8}, start + 1s);
+    spread.onPlatformRead(7, start + 1s);
+    CHECK(has(spread.advance(start + 1s), SpreadAction::Kind::ReadPlatform));
+}
+
+TEST_CASE("a host that hears neither platform nor peers turns not ready, and ready again when it does")
+{
+    PresetSpread spread = settledHost();
+    const Duration limit = PresetSpreadOptions().isolationLimit;
+    CHECK(spread.isReady(start + limit));
+    CHECK_FALSE(spread.isReady(start + limit + 1ms));
+    spread.heard(hostName(4), 1, start + limit + 1s);
+    CHECK(spread.isReady(start + limit + 1s));
+}
+
+TEST_CASE("frames are read back equal, and arbitrary bytes are nothing or a whole frame")
+{
+    CHECK(decodePresetFetch(encodePresetFetch({7})) == PresetFetch{7});
+    CHECK(decodePresetContent(encodePresetContent({7, "text"})) == PresetContent{7, "text"});
+    CHECK(decodePresetContent(encodePresetContent({0, ""})) == PresetContent{0, ""});
+    const std::vector<std::byte> whole = encodePresetContent({7, "text"});
+    for (std::size_t length = 0; length < whole.size(); ++length) {
+        const std::optional<PresetContent> content = decodePresetContent(std::span(whole).first(length));
+        CHECK((!content || content->document.size() <= length));
+    }
+    rc::prop("arbitrary bytes", [](const std::vector<std::uint8_t> &bytes) {
+        const std::optional<PresetContent> content = decodePresetContent(std::as_bytes(std::span(bytes)));
+        RC_ASSERT((!content || content->document.size() <= bytes.size()));
+    });
+}
