--- /dev/null
+++ b/src/arbiter/arbiterhostterm.h
@@ -0,0 +1,282 @@
+#pragma once
+
+// The arbiter's end of one shard on one host, without I/O: takes desks' batches, hands them to Arbiter, batches answers.
+//
+// The first batch begins a term. Its epoch is above every epoch that any desk has seen; a desk that shows a greater
+// one, or the same one from another host, makes this host begin a new term. So two hosts that both believe they serve
+// the shard never grant under one epoch to the same desk, and the desk tells the grants of the former by their smaller
+// epoch. The cost of two arbiters at once is that an endpoint may be given more work than its limit until membership
+// agrees; no request runs twice, since a desk uses one grant an attempt.
+//
+// A term begins with a new Arbiter and a new pool: what the former term's grants reserved is told again by the desks
+// that still hold them.
+//
+// Use: events with the time, then takeAnswers(); tick() at nextWake(). Bounds: Arbiter's; one small record a desk.
+
+#include "arbiter/arbiter.h"
+#include "arbiter/permitdeskpeer.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <utility>
+#include <vector>
+
+namespace Rhubarbwind
+{
+
+template <EndpointChooser Pool>
+using PoolFactory = std::function<std::unique_ptr<Pool>(const ShardId &shard)>;
+
+struct PermitAnswersTo
+{
+    HostId to;
+    PermitAnswers answers;
+};
+
+template <EndpointChooser Pool>
+class ArbiterTerm
+{
+public:
+    ArbiterTerm(ShardId shard, HostId self, ArbiterOptions options, Duration flushInterval, PoolFactory<Pool> makePool)
+        : m_shard(std::move(shard))
+        , m_self(std::move(self))
+        , m_options(options)
+        , m_flushInterval(flushInterval)
+        , m_makePool(std::move(makePool))
+    {
+    }
+
+    /** Without a preset nothing is served: desks find the silence and ask again. */
+    void applyPreset(TimePoint now, std::shared_ptr<const PresetInForce> preset)
+    {
+        m_preset = std::move(preset);
+        if (m_arbiter) {
+            m_arbiter->applyPreset(now, m_preset);
+            collect();
+        }
+    }
+
+    void setEndpoints(TimePoint now, std::span<const Endpoint> endpoints)
+    {
+        m_endpoints.assign(endpoints.begin(), endpoints.end());
+        if (m_arbiter) {
+            m_pool->update(now, m_endpoints);
+            tick(now);
+        }
+    }
+
+    /** Desks of hosts that are not live any more are forgotten; what they run keeps its place for a while. */
+    void setHosts(TimePoint now, std::span<const HostId> live)
+    {
+        std::vector<HostId> gone;
+        for (const auto &[host, peer] : m_peers) {
+            if (std::find(live.begin(), live.end(), host) == live.end()) {
+                gone.push_back(host);
+            }
+        }
+        for (const HostId &host : gone) {
+            forgetDesk(now, host);
+        }
+    }
+
+    /** Ownership moved to another host: the arbiter goes, its desks tell everything to the next one. */
+    void drop()
+    {
+        m_arbiter.reset();
+        m_pool.reset();
+        m_peers.clear();
+        m_pending.clear();
+    }
+
+    void requests(TimePoint now, const PermitRequests &batch)
+    {
+        m_greatestEpoch = std::max({m_greatestEpoch, batch.epochSeen, batch.epochElsewhere});
+        if (batch.onlyTerm != 0) {
+            takeGivenBack(now, batch);
+            return;
+        }
+        if (m_preset == nullptr) {
+            return;
+        }
+        const bool superseded = batch.epochSeen > m_epoch || batch.epochElsewhere >= m_epoch;
+        if (!m_arbiter || superseded) {
+            begin(now);
+        }
+        const PermitDeskPeer::Arrival arrival = m_peers[batch.sender].receive(batch);
+        if (arrival == PermitDeskPeer::Arrival::Drop) {
+            return;
+        }
+        if (arrival == PermitDeskPeer::Arrival::ApplyAfterForgetting) {
+            m_arbiter->hostGone(now, batch.sender);
+            m_pending.erase(batch.sender);
+        }
+        apply(now, batch);
+    }
+
+    void tick(TimePoint now)
+    {
+        if (m_arbiter) {
+            m_arbiter->tick(now);
+            collect();
+        }
+    }
+
+    /** Answers that are due; to this very host without waiting for a batch. */
+    std::vector<PermitAnswersTo> takeAnswers(TimePoint now)
+    {
+        std::vector<PermitAnswersTo> due;
+        const bool flushOthers = now >= m_lastFlush + m_flushInterval;
+        for (auto &[host, peer] : m_peers) {
+            if ((host == m_self || flushOthers) && owes(host, peer)) {
+                takeAnswersTo(now, host, peer, due);
+            }
+        }
+        return due;
+    }
+
+    std::optional<TimePoint> nextWake() const
+    {
+        std::optional<TimePoint> wake = m_arbiter ? m_arbiter->nextWake() : std::nullopt;
+        const bool anyOwed = std::any_of(m_peers.begin(), m_peers.end(), [this](const auto &entry) { return owes(entry.first, entry.second); });
+        if (anyOwed) {
+            const TimePoint flush = m_lastFlush + m_flushInterval;
+            wake = wake ? std::min(*wake, flush) : flush;
+        }
+        return wake;
+    }
+
+    /** None while no term runs here. */
+    std::optional<ArbiterStatus> status() const
+    {
+        return m_arbiter ? std::optional(m_arbiter->status()) : std::nullopt;
+    }
+
+    /** The present term's pool, for news of endpoints; null while no term runs here. */
+    Pool *pool()
+    {
+        return m_pool.get();
+    }
+
+private:
+    void begin(TimePoint now)
+    {
+        drop();
+        m_epoch = std::min(m_greatestEpoch + 1, maxPermitNumber);
+        m_greatestEpoch = m_epoch;
+        m_pool = m_makePool(m_shard);
+        m_pool->update(now, m_endpoints);
+        m_arbiter = std::make_unique<Arbiter<Pool>>(m_shard, m_options, *m_pool, m_epoch, now);
+        m_arbiter->applyPreset(now, m_preset);
+    }
+
+    void apply(TimePoint now, const PermitRequests &batch)
+    {
+        // Places are freed before they are wanted, and what runs is known before anything new is granted.
+        for (const AttemptId &id : batch.cancels) {
+            m_arbiter->cancel(now, id);
+        }
+        for (const Release &release : batch.releases) {
+            m_arbiter->release(now, release);
+        }
+        for (const HeldPermit &permit : batch.held) {
+            m_arbiter->held(now, permit);
+        }
+        for (const PermitRequests::Progress &entry : batch.progress) {
+            m_arbiter->progress(now, entry.id, entry.tokens);
+        }
+        for (const Ticket &ticket : batch.tickets) {
+            m_arbiter->ticket(now, ticket);
+        }
+        collect();
+    }
+
+    void takeGivenBack(TimePoint now, const PermitRequests &batch)
+    {
+        // Only this term's: another one may since hold the attempt rightly.
+        if (!m_arbiter || batch.onlyTerm != m_epoch) {
+            return;
+        }
+        for (const Release &release : batch.releases) {
+            m_arbiter->release(now, release);
+        }
+        collect();
+    }
+
+    void forgetDesk(TimePoint now, const HostId &host)
+    {
+        m_peers.erase(host);
+        m_pending.erase(host);
+        m_arbiter->hostGone(now, host);
+        collect();
+    }
+
+    /** Sorts the arbiter's actions by host, in answers of bounded size. */
+    void collect()
+    {
+        for (ArbiterAction &action : m_arbiter->takeActions()) {
+            std::vector<PermitAnswers> &answers = m_pending[action.host];
+            if (answers.empty() || isFull(answers.back())) {
+                answers.emplace_back();
+            }
+            PermitAnswers &last = answers.back();
+            if (Grant *grant = std::get_if<Grant>(&action.message)) {
+                last.grants.push_back(std::move(*grant));
+            } else if (Refusal *refusal = std::get_if<Refusal>(&action.message)) {
+                last.refusals.push_back(std::move(*refusal));
+            } else {
+                last.preemptions.push_back(std::move(std::get<Preemption>(action.message)));
+            }
+        }
+    }
+
+    static bool isFull(const PermitAnswers &answers)
+    {
+        return answers.grants.size() + answers.refusals.size() + answers.preemptions.size() >= maxBatchEntries;
+    }
+
+    bool owes(const HostId &host, const PermitDeskPeer &peer) const
+    {
+        return peer.owesAnswer() || m_pending.contains(host);
+    }
+
+    void takeAnswersTo(TimePoint now, const HostId &host, PermitDeskPeer &peer, std::vector<PermitAnswersTo> &due)
+    {
+        std::vector<PermitAnswers> answers;
+        if (auto pending = m_pending.extract(host)) {
+            answers = std::move(pending.mapped());
+        }
+        if (answers.empty()) {
+            answers.emplace_back(); // shows that the arbiter is there and what it has heard
+        }
+        for (PermitAnswers &answer : answers) {
+            answer.shard = m_shard;
+            answer.epoch = m_epoch;
+            peer.stamp(answer);
+            due.push_back({host, std::move(answer)});
+        }
+        if (host != m_self) {
+            m_lastFlush = now;
+        }
+    }
+
+    ShardId m_shard;
+    HostId m_self;
+    ArbiterOptions m_options;
+    Duration m_flushInterval;
+    PoolFactory<Pool> m_makePool;
+    std::shared_ptr<const PresetInForce> m_preset;
+    std::vector<Endpoint> m_endpoints;
+    Epoch m_epoch = 0;
+    Epoch m_greatestEpoch = 0; ///< own or told by a desk
+    std::unique_ptr<Pool> m_pool;
+    std::unique_ptr<Arbiter<Pool>> m_arbiter;
+    std::map<HostId, PermitDeskPeer> m_peers;
+    std::map<HostId, std::vector<PermitAnswers>> m_pending;
+    TimePoint m_lastFlush;
+};
+
+} // namespace Rhubarbwind
--- a/src/arbiter/permitdesk.cpp
+++ b/src/arbiter/permitdesk.cpp
@@ -45,6 +45,7 @@
     , m_share(LocalShareOptions{m_options.self})
     , m_lastFlush(now - m_options.keepAliveInterval)
     , m_lastProgress(now)
+    , m_lastRenewal(now)
     , m_lastTick(now)
 {
 }
@@ -95,10 +96,7 @@
         return;
     }
     held->second.tokens = std::max(held->second.tokens, tokens);
-    if (!held->second.progressListed) {
-        held->second.progressListed = true;
-        m_changedProgress.push_back(id);
-    }
+    listProgress(id, held->second);
 }
 
 void PermitDesk::release(TimePoint, const Release &release)
@@ -236,6 +234,7 @@
     expireDeadlines(now);
     checkSilence(now);
     decideLocally(now);
+    renewHeld(now);
     flush(now);
     sendGivenBack(now);
 }
@@ -496,6 +495,27 @@
     }
 }
 
+void PermitDesk::listProgress(const AttemptId &id, Held &held)
+{
+    if (!held.progressListed) {
+        held.progressListed = true;
+        m_changedProgress.push_back(id);
+    }
+}
+
+void PermitDesk::renewHeld(TimePoint now)
+{
+    // A plain service's call or a long prefill shows no tokens for minutes. Without a sign of life the arbiter would
+    // hand its place on and overfill the endpoint.
+    if (now - m_lastRenewal < m_options.renewalInterval) {
+        return;
+    }
+    m_lastRenewal = now;
+    for (auto &[id, held] : m_held) {
+        listProgress(id, held);
+    }
+}
+
 void PermitDesk::addUnacknowledged(const AttemptId &id, std::optional<Release> release)
 {
     m_unacknowledged[id] = Unacknowledged{std::move(release)};
@@ -606,7 +626,7 @@
 
 void PermitDesk::flush(TimePoint now)
 {
-    if (m_owner.empty() || now - m_lastFlush < m_options.flushInterval) {
+    if (m_owner.empty() || now < m_lastFlush + flushWait()) {
         return;
     }
     const bool keepAliveDue = hasOutstanding() && now - m_lastFlush >= m_options.keepAliveInterval;
@@ -620,6 +640,12 @@
     }
 }
 
+Duration PermitDesk::flushWait() const
+{
+    // On this very host there is no frame to save.
+    return m_owner == m_options.self ? Duration::zero() : m_options.flushInterval;
+}
+
 bool PermitDesk::hasUntold() const
 {
     return !m_untoldTickets.empty() || !m_untoldHeld.empty() || !m_unsent.empty();
@@ -749,14 +775,15 @@
         return std::nullopt;
     }
     if (hasUntold()) {
-        return m_lastFlush + m_options.flushInterval;
+        return m_lastFlush + flushWait();
     }
     std::optional<TimePoint> next;
     if (hasOutstanding()) {
+        // Also often enough for renewHeld().
         next = m_lastFlush + m_options.keepAliveInterval;
     }
     if (!m_changedProgress.empty()) {
-        const TimePoint progress = std::max(m_lastProgress + m_options.progressInterval, m_lastFlush + m_options.flushInterval);
+        const TimePoint progress = std::max(m_lastProgress + m_options.progressInterval, m_lastFlush + flushWait());
         next = next ? std::min(*next, progress) : progress;
     }
     return next;
--- a/src/arbiter/permitdesk.h
+++ b/src/arbiter/permitdesk.h
@@ -38,11 +38,12 @@
 {
     ShardId shard;
     HostId self;
-    std::uint64_t incarnation = 1; ///< differs from that of this host's former process
-    Duration flushInterval = 2ms; ///< collects a batch; adds at most this to a request's wait
+    std::uint64_t incarnation = 1; ///< from 1; differs from that of this host's former process
+    Duration flushInterval = 2ms; ///< least time between batches to another host; adds at most this to a request's wait
     Duration keepAliveInterval = 250ms; ///< an empty batch while something is outstanding: shows loss and silence
     Duration fallbackAfter = 1s; ///< four lost keep-alives; shorter than membership takes to name a new owner
     Duration progressInterval = 500ms; ///< least time between two tellings of progress
+    Duration renewalInterval = 20s; ///< progress is told this often at least; an arbiter takes a permit's place after 60 s without
     Duration localGrantExpiry = 2s; ///< for permits of the own share
     Duration noEndpointGrace = 2s; ///< in fallback, how long tickets wait for a first endpoint
     std::size_t maxWaiting = 20'000;
@@ -176,8 +177,11 @@
     void decideLocally(TimePoint now);
     void refuseImpossible(TimePoint now);
     void flush(TimePoint now);
+    Duration flushWait() const;
     bool hasUntold() const;
     bool isProgressDue(TimePoint now) const;
+    void listProgress(const AttemptId &id, Held &held);
+    void renewHeld(TimePoint now);
     void sendBatch(TimePoint now);
     void fillTickets(TimePoint now, PermitRequests &batch);
     void fillHeld(TimePoint now, PermitRequests &batch);
@@ -219,6 +223,7 @@
     std::optional<TimePoint> m_noTakerSince;
     TimePoint m_lastFlush;
     TimePoint m_lastProgress;
+    TimePoint m_lastRenewal;
     TimePoint m_lastTick;
     bool m_fallback = false;
     bool m_localWork = false; ///< something changed that may allow a local grant or refusal
