--- a/src/platform/httpexchange.cpp
+++ b/src/platform/clientexchange.cpp
@@ -2,7 +2,7 @@
 // whichever is under way. The phase in which an exchange failed decides what is known of it: up to a write
 // that moved no byte, nothing was sent.
 
-#include "platform/httpexchange.h"
+#include "platform/clientexchange.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
@@ -30,7 +30,7 @@
 } // namespace
 
 template <Clock ClockType>
-HttpExchange<ClockType>::HttpExchange(const asio::any_io_executor &executor, tcp::endpoint server, std::size_t maxAnswerBytes)
+ClientExchange<ClockType>::ClientExchange(const asio::any_io_executor &executor, tcp::endpoint server, std::size_t maxAnswerBytes)
     : m_socket(executor)
     , m_server(std::move(server))
     , m_timer(executor)
@@ -39,7 +39,7 @@
 }
 
 template <Clock ClockType>
-void HttpExchange<ClockType>::start(HttpCall call, Duration limit, ExchangeHandler handler)
+void ClientExchange<ClockType>::start(HttpCall call, Duration limit, ExchangeHandler handler)
 {
     m_handler = std::move(handler);
     m_timedOut = false;
@@ -54,7 +54,7 @@
     m_request.prepare_payload();
     m_timer.expires_after(limit);
     m_timer.async_wait([weak = this->weak_from_this()](beast::error_code error) {
-        const std::shared_ptr<HttpExchange> self = weak.lock();
+        const std::shared_ptr<ClientExchange> self = weak.lock();
         if (!error && self && self->m_handler) {
             self->m_timedOut = true;
             self->close();
@@ -68,7 +68,7 @@
 }
 
 template <Clock ClockType>
-void HttpExchange<ClockType>::connect()
+void ClientExchange<ClockType>::connect()
 {
     m_socket.async_connect(m_server, [self = this->shared_from_this()](beast::error_code error) {
         if (error || !self->m_socket.is_open()) {
@@ -82,7 +82,7 @@
 }
 
 template <Clock ClockType>
-void HttpExchange<ClockType>::write()
+void ClientExchange<ClockType>::write()
 {
     http::async_write(m_socket, m_request, [self = this->shared_from_this()](beast::error_code error, std::size_t sent) {
         if (error) {
@@ -94,7 +94,7 @@
 }
 
 template <Clock ClockType>
-void HttpExchange<ClockType>::read()
+void ClientExchange<ClockType>::read()
 {
     m_parser.emplace();
     m_parser->body_limit(m_maxAnswerBytes);
@@ -113,7 +113,7 @@
 }
 
 template <Clock ClockType>
-void HttpExchange<ClockType>::finish(Result<HttpAnswer, ExchangeError> result)
+void ClientExchange<ClockType>::finish(Result<HttpAnswer, ExchangeError> result)
 {
     m_timer.cancel();
     if (result.has_error()) {
@@ -126,7 +126,7 @@
 }
 
 template <Clock ClockType>
-bool HttpExchange<ClockType>::isReusable()
+bool ClientExchange<ClockType>::isReusable()
 {
     if (!m_socket.is_open() || m_handler || m_buffer.size() != 0) {
         return false;
@@ -141,13 +141,13 @@
 }
 
 template <Clock ClockType>
-void HttpExchange<ClockType>::close()
+void ClientExchange<ClockType>::close()
 {
     beast::error_code ignored;
     m_socket.close(ignored);
 }
 
-template class HttpExchange<SteadyClock>;
-template class HttpExchange<ManualClock>;
+template class ClientExchange<SteadyClock>;
+template class ClientExchange<ManualClock>;
 
 } // namespace Rhubarbwind
--- a/src/platform/httpexchange.h
+++ b/src/platform/clientexchange.h
@@ -41,10 +41,10 @@
 using ExchangeHandler = std::function<void(Result<HttpAnswer, ExchangeError>)>;
 
 template <Clock ClockType>
-class HttpExchange : public std::enable_shared_from_this<HttpExchange<ClockType>>
+class ClientExchange : public std::enable_shared_from_this<ClientExchange<ClockType>>
 {
 public:
-    HttpExchange(const boost::asio::any_io_executor &executor, boost::asio::ip::tcp::endpoint server, std::size_t maxAnswerBytes);
+    ClientExchange(const boost::asio::any_io_executor &executor, boost::asio::ip::tcp::endpoint server, std::size_t maxAnswerBytes);
 
     /** Connects first when needed. The handler is called once, never from within. */
     void start(HttpCall call, Duration limit, ExchangeHandler handler);
--- a/src/platform/platformconnections.h
+++ b/src/platform/platformconnections.h
@@ -11,7 +11,7 @@
 // Bounds: maxConnections + maxWatches sockets, maxQueued waiting calls, maxAnswerBytes an answer.
 
 #include "base/sessiontimer.h"
-#include "platform/httpexchange.h"
+#include "platform/clientexchange.h"
 #include "platform/platformbudget.h"
 
 #include <deque>
@@ -50,7 +50,7 @@
     void close();
 
 private:
-    using Exchange = HttpExchange<ClockType>;
+    using Exchange = ClientExchange<ClockType>;
     struct Pending
     {
         CallKind kind = CallKind::Read;
