Test each rule of the arbiter by example

A table or short story for each rule: order, fairness, repeats, collecting round, preset switch, dead hosts, early refusals, shedding, preemption. A grant out of turn that fits nowhere now falls back to the next in order: the higher request would have waited for a place of the lower one's size.

--- a/src/arbiter/arbiter.h
+++ b/src/arbiter/arbiter.h
@@ -19,8 +19,8 @@
 //   - Hopeless counts tickets of the same and of higher tiers only, and never reaches a class's reserved places.
 //   - Preemption takes the newest work of the lowest tier that may be stopped, for a request of a higher tier that
 //     is about to miss its first-token target while every place is taken. The place it frees is granted in order
-//     of tiers, never by a minimum share, and work that was granted by a share is not stopped: otherwise a class
-//     could lose its place to a lower one, or a share would be undone as soon as it was given.
+//     of tiers, never by a minimum share, and work that was granted by a share, or by a former arbiter, is not
+//     stopped: otherwise a class could lose its place to a lower one, or a share would be undone at once.
 //   - A new preset holds for waiting tickets at once: tier, target, limits, and the deadline moved by the change of
 //     the class's. Running work is left alone.
 //
--- a/src/arbiter/arbiter_test.cpp
+++ b/src/arbiter/arbiter_test.cpp
@@ -1,74 +1,491 @@
+// Each rule of the arbiter by example; arbiterproperty_test.cpp checks them over arbitrary histories.
+
 #include "arbiter/arbiter.h"
+#include "arbiter/arbitertestkit.h"
 
-#include <map>
+#include <sstream>
 
 #include <catch2/catch.hpp>
-#include <rapidcheck/catch.h>
 
 using namespace Rhubarbwind;
 
 namespace
 {
 
-struct Places
+constexpr TimePoint start(1h);
+
+/** An arbiter past its collecting round over one endpoint. */
+struct Shard
 {
-    std::size_t limit = 1;
-    std::size_t used = 0;
-    bool takers = true;
+    explicit Shard(const std::shared_ptr<PresetInForce> &preset, std::size_t places = 1, const ArbiterOptions &options = {})
+        : pool{1, places}
+        , arbiter(ShardId("s"), options, pool, 7, start)
+    {
+        arbiter.applyPreset(start, preset);
+        arbiter.tick(now);
+    }
 
-    std::optional<EndpointChoice> choose(TimePoint, const EndpointQuery &)
+    void wait(Duration step)
     {
-        return used < limit ? std::optional(EndpointChoice{EndpointId("engine-1")}) : std::nullopt;
+        now += step;
+        arbiter.tick(now);
     }
-    void reserve(TimePoint, const Reservation &, std::span<const std::uint64_t>)
+    void ticket(const Ticket &ticket)
     {
-        ++used;
+        arbiter.ticket(now, ticket);
     }
-    void free(TimePoint, const Reservation &, const ServiceSample &)
+    void release(const std::string &request, ReleaseKind kind = ReleaseKind::Completed, std::uint32_t tokens = 256)
     {
-        --used;
+        Release release{attempt(request), EndpointId("engine-0"), kind};
+        release.tokens = tokens;
+        arbiter.release(now, release);
     }
-    void freeUnused(TimePoint, const Reservation &)
+    /** The actions since the last call: "+a" a grant, "-a:N" a refusal for reason N, "!a" a preemption. */
+    std::string told()
     {
-        --used;
+        last = arbiter.takeActions();
+        std::ostringstream text;
+        for (const ArbiterAction &action : last) {
+            text << (text.str().empty() ? "" : " ");
+            if (const Grant *grant = std::get_if<Grant>(&action.message)) {
+                text << '+' << grant->id.request;
+            } else if (const Refusal *refusal = std::get_if<Refusal>(&action.message)) {
+                text << '-' << refusal->id.request << ':' << static_cast<int>(refusal->reason);
+            } else {
+                text << '!' << std::get<Preemption>(action.message).id.request;
+            }
+        }
+        return text.str();
     }
-    void update(TimePoint, std::span<const Endpoint>)
+    /** Runs the shard dry and tells the order of grants. */
+    std::string drain(const std::string &running)
     {
+        std::string order;
+        std::string next = running;
+        while (!next.empty()) {
+            release(next);
+            const std::string granted = told();
+            next = granted.empty() ? "" : granted.substr(1);
+            order += (order.empty() || next.empty() ? "" : " ") + next;
+        }
+        return order;
+    }
+
+    TimePoint now = start + 1s;
+    CountedEndpoints pool;
+    TestArbiter arbiter;
+    std::vector<ArbiterAction> last;
+};
+
+std::shared_ptr<PresetInForce> threeTiers()
+{
+    return presetOf({classRule("query", 0), classRule("draft", 1), classRule("tagging", 2)});
+}
+
+} // namespace
+
+TEST_CASE("grants go by tier, then by due time")
+{
+    std::shared_ptr<PresetInForce> preset = presetOf({classRule("low", 1), classRule("slow", 0), classRule("fast", 0)});
+    preset->preset.classes[1].firstTokenTarget = 2s;
+    preset->preset.classes[2].firstTokenTarget = 500ms;
+    Shard shard(preset);
+    shard.ticket(ticketOf("running", "low"));
+    shard.ticket(ticketOf("low", "low"));
+    shard.ticket(ticketOf("slow-early", "slow"));
+    shard.wait(1s);
+    shard.ticket(ticketOf("fast", "fast"));
+    shard.wait(1s);
+    shard.ticket(ticketOf("fast-late", "fast"));
+    REQUIRE(shard.told() == "+running");
+    // Due after 2 s, 1.5 s and 2.5 s.
+    REQUIRE(shard.drain("running") == "fast slow-early fast-late low");
+}
+
+TEST_CASE("one customer's burst does not hold up another's request")
+{
+    Shard shard(threeTiers());
+    shard.ticket(ticketOf("running", "draft", "large"));
+    for (int i = 0; i < 50; ++i) {
+        shard.ticket(ticketOf("burst-" + std::to_string(i), "draft", "large"));
     }
-    std::size_t freePlaces(TimePoint)
+    shard.release("running");
+    shard.ticket(ticketOf("small", "draft", "small"));
+    REQUIRE(shard.told() == "+running +burst-0");
+    shard.release("burst-0");
+    REQUIRE(shard.told() == "+small");
+}
+
+TEST_CASE("a message that comes twice or late has the effect of one")
+{
+    // The caller must get one run. Links are cut and tickets re-sent while the first answer, or the release, is
+    // still on its way. Without memory of the attempt a late ticket would take a second place for a request that
+    // has ended, and a repeated one would wait behind itself.
+    Shard shard(threeTiers());
+    const Ticket ticket = ticketOf("a", "draft");
+
+    SECTION("a granted attempt's grant is sent again, renewed once it has run out")
     {
-        return limit - std::min(limit, used);
+        shard.ticket(ticket);
+        const Grant first = std::get<Grant>(shard.arbiter.takeActions().at(0).message);
+        const auto [later, left] = GENERATE(table<Duration, Duration>({{500ms, 1500ms}, {2s, 2s}, {9s, 2s}}));
+        shard.wait(later);
+        shard.ticket(ticket);
+        REQUIRE(shard.told() == "+a");
+        const Grant again = std::get<Grant>(shard.last[0].message);
+        REQUIRE(again.endpoint == first.endpoint);
+        REQUIRE(again.epoch == 7);
+        REQUIRE(again.expiresIn == left);
+        REQUIRE(shard.pool.totalUsed() == 1);
     }
-    bool hasTakers()
+    SECTION("a release or cancel before its ticket ends it")
     {
-        return takers;
+        GENERATE(0, 1) == 0 ? shard.release("a") : shard.arbiter.cancel(shard.now, ticket.id);
+        shard.ticket(ticket);
+        REQUIRE(shard.told().empty());
+        REQUIRE(shard.arbiter.status().queued == 0);
     }
-};
+    SECTION("a refusal is sent again")
+    {
+        shard.ticket(ticketOf("a", "no-such-class"));
+        shard.ticket(ticketOf("a", "no-such-class"));
+        REQUIRE(shard.told() == "-a:3 -a:3");
+    }
+    SECTION("a second release frees nothing")
+    {
+        shard.ticket(ticket);
+        shard.release("a");
+        shard.ticket(ticketOf("b", "draft"));
+        shard.release("a");
+        REQUIRE(shard.told() == "+a +b");
+        REQUIRE(shard.pool.totalUsed() == 1);
+    }
+    SECTION("a cancel that crosses its grant gives the place back")
+    {
+        shard.ticket(ticket);
+        shard.arbiter.cancel(shard.now, ticket.id);
+        REQUIRE(shard.pool.totalUsed() == 0);
+    }
+}
 
-} // namespace
+TEST_CASE("a new arbiter grants little until entry hosts have re-sent what runs")
+{
+    // The callers of running streams see them slow down: the arbiter died, its successor knows of no work, and
+    // grants all places a second time. Without the collecting round every endpoint would hold up to twice its
+    // work; with it, a quarter more at most.
+    CountedEndpoints pool{1, 8};
+    TestArbiter arbiter(ShardId("s"), ArbiterOptions(), pool, 2, start);
+    arbiter.applyPreset(start, threeTiers());
+    for (int i = 0; i < 10; ++i) {
+        arbiter.ticket(start, ticketOf("waiting-" + std::to_string(i), "draft"));
+    }
+    REQUIRE(arbiter.takeActions().size() == 2);
+    REQUIRE(arbiter.status().collecting);
+    for (int i = 0; i < 7; ++i) {
+        arbiter.held(start + 100ms, HeldPermit{ticketOf("running-" + std::to_string(i), "draft"), EndpointId("engine-0"), 10});
+    }
+    REQUIRE(arbiter.nextWake() == start + 250ms);
+    arbiter.tick(start + 300ms);
+    REQUIRE_FALSE(arbiter.status().collecting);
+    REQUIRE(arbiter.takeActions().empty());
+    REQUIRE(pool.totalUsed() == 9);
+}
 
-TEST_CASE("tickets are granted in order of tiers")
-{
-    const TimePoint start(1h);
-    Places pool;
-    Arbiter<Places> arbiter(ShardId("s"), ArbiterOptions(), pool, 1, start);
-    std::shared_ptr<PresetInForce> preset = std::make_shared<PresetInForce>();
-    preset->version = 1;
-    preset->preset.classes = {ClassRule{ClassId("low"), Tier{1}}, ClassRule{ClassId("high"), Tier{0}}};
-    arbiter.applyPreset(start, preset);
-    const TimePoint now = start + 1s;
-    arbiter.tick(now);
-    Ticket ticket;
-    ticket.entry = HostId("h");
-    ticket.deadlineIn = 10s;
-    for (const std::uint32_t attempt : {0, 1, 2}) {
-        ticket.id = {RequestId("r"), attempt};
-        ticket.classId = ClassId(attempt == 2 ? "high" : "low");
-        arbiter.ticket(now, ticket);
+TEST_CASE("what runs under a former arbiter's grant counts, not what was granted here")
+{
+    CountedEndpoints pool{2, 1};
+    TestArbiter arbiter(ShardId("s"), ArbiterOptions(), pool, 2, start);
+    arbiter.applyPreset(start, threeTiers());
+    arbiter.tick(start + 1s);
+    arbiter.ticket(start + 1s, ticketOf("a", "draft"));
+    const Grant grant = std::get<Grant>(arbiter.takeActions().at(0).message);
+    const EndpointId other(grant.endpoint == EndpointId("engine-0") ? "engine-1" : "engine-0");
+    arbiter.held(start + 1s, HeldPermit{ticketOf("a", "draft"), other, 5});
+    REQUIRE(pool.used[grant.endpoint] == 0);
+    REQUIRE(pool.used[other] == 1);
+    REQUIRE(arbiter.status().running == 1);
+}
+
+TEST_CASE("a preset switch moves waiting tickets at once and leaves running work alone", "[config-monotonic]")
+{
+    Shard shard(threeTiers());
+    shard.ticket(ticketOf("running", "query"));
+    shard.ticket(ticketOf("query", "query"));
+    shard.ticket(ticketOf("draft", "draft"));
+    shard.ticket(ticketOf("tagging", "tagging"));
+    std::shared_ptr<PresetInForce> next = presetOf({classRule("tagging", 0), classRule("query", 1)}, 2);
+    next->preset.classes[1].queueDeadline = 10s;
+    shard.arbiter.applyPreset(shard.now, next);
+    REQUIRE(shard.told() == "+running -draft:3");
+    REQUIRE(std::get<Refusal>(shard.last[1].message).retryAfter == 60s);
+    REQUIRE(shard.arbiter.status().running == 1);
+    shard.arbiter.applyPreset(shard.now, threeTiers()); // version 1 comes late
+    shard.release("running");
+    REQUIRE(shard.told() == "+tagging");
+    shard.wait(10s);
+    REQUIRE(shard.told() == "-query:0");
+}
+
+TEST_CASE("a dead host's tickets go and its work holds its place for a bounded time")
+{
+    // Another caller's stream slows down: a host dies, its place is granted at once, but the endpoint goes on with
+    // the stream that nobody reads. Without the hold the endpoint runs both; without the bound the place is lost.
+    Shard shard(threeTiers());
+    shard.ticket(ticketOf("dead-running", "draft", "c", "dead"));
+    shard.ticket(ticketOf("dead-waiting", "draft", "c", "dead"));
+    shard.ticket(ticketOf("alive", "draft", "c", "alive"));
+    shard.arbiter.hostGone(shard.now, HostId("dead"));
+    REQUIRE(shard.told() == "+dead-running");
+    REQUIRE(shard.arbiter.status().queued == 1);
+    REQUIRE(shard.arbiter.status().orphans == 1);
+
+    SECTION("it stays dead")
+    {
+        shard.wait(19s);
+        REQUIRE(shard.told().empty());
+        shard.wait(1s);
+        REQUIRE(shard.told() == "+alive");
+        REQUIRE(shard.arbiter.status().lostPermits == 1);
+    }
+    SECTION("it was only cut off")
+    {
+        shard.arbiter.held(shard.now, HeldPermit{ticketOf("dead-running", "draft", "c", "dead"), EndpointId("engine-0"), 4});
+        REQUIRE(shard.arbiter.status().orphans == 0);
+        shard.wait(25s);
+        REQUIRE(shard.told().empty());
+    }
+    SECTION("it comes back after its place was taken")
+    {
+        shard.wait(20s);
+        shard.arbiter.held(shard.now, HeldPermit{ticketOf("dead-running", "draft", "c", "dead"), EndpointId("engine-0"), 4});
+        REQUIRE(shard.pool.totalUsed() == 2);
+    }
+}
+
+TEST_CASE("a permit without any news is given up")
+{
+    Shard shard(threeTiers());
+    shard.ticket(ticketOf("a", "draft"));
+    shard.wait(50s);
+    shard.arbiter.progress(shard.now, attempt("a"), 10);
+    REQUIRE(shard.arbiter.nextWake() == shard.now + 60s);
+    shard.wait(59s);
+    REQUIRE(shard.arbiter.status().running == 1);
+    shard.wait(1s);
+    REQUIRE(shard.arbiter.status().running == 0);
+    REQUIRE(shard.pool.totalUsed() == 0);
+}
+
+TEST_CASE("a ticket whose deadline passes is told so at the deadline")
+{
+    Shard shard(threeTiers());
+    shard.ticket(ticketOf("running", "draft"));
+    Ticket ticket = ticketOf("a", "draft");
+    ticket.deadlineIn = 100ms;
+    shard.ticket(ticket);
+    REQUIRE(shard.told() == "+running");
+    REQUIRE(shard.arbiter.nextWake() <= shard.now + 100ms);
+    shard.wait(100ms);
+    REQUIRE(shard.told() == "-a:0");
+}
+
+TEST_CASE("a request that cannot be served in time is told at once, with the time after which it could")
+{
+    // The caller of a late answer has waited its whole deadline for nothing. Ten drafts of 4 s each hold the one
+    // place, so the eleventh, with 20 s to go, cannot be reached. Without the early refusal it is told after 20 s.
+    Shard shard(threeTiers(), 1);
+    for (int i = 0; i < 8; ++i) {
+        shard.ticket(ticketOf("earlier-" + std::to_string(i), "draft"));
+        shard.wait(4s);
+        shard.release("earlier-" + std::to_string(i));
+    }
+    for (int i = 0; i < 11; ++i) {
+        Ticket draft = ticketOf("draft-" + std::to_string(i), "draft");
+        draft.deadlineIn = 100s;
+        shard.ticket(draft);
+    }
+    shard.told();
+    const auto [classId, deadline, expected] = GENERATE(table<std::string, Duration, std::string>({
+        {"draft", 20s, "-a:1"}, // 11 grants of 4 s each before its own time
+        {"draft", 40s, ""},
+        {"query", 5s, ""}, // nothing goes before it
+        {"tagging", 20s, ""}, // within its class's reserve: its share may reach it
+    }));
+    Ticket ticket = ticketOf("a", classId);
+    ticket.deadlineIn = deadline;
+    shard.ticket(ticket);
+    REQUIRE(shard.told() == expected);
+    if (!expected.empty()) {
+        REQUIRE(std::get<Refusal>(shard.last[0].message).retryAfter == 40s);
+    }
+}
+
+TEST_CASE("hopeless is found while waiting too, when higher requests come in")
+{
+    Shard shard(threeTiers(), 1);
+    for (int i = 0; i < 8; ++i) {
+        shard.ticket(ticketOf("earlier-" + std::to_string(i), "draft"));
+        shard.wait(1s);
+        shard.release("earlier-" + std::to_string(i));
+    }
+    for (int i = 0; i < 6; ++i) {
+        shard.ticket(ticketOf("draft-" + std::to_string(i), "draft"));
+    }
+    shard.told();
+    for (int i = 0; i < 45; ++i) {
+        Ticket query = ticketOf("query-" + std::to_string(i), "query");
+        query.deadlineIn = 60s;
+        shard.ticket(query);
+    }
+    shard.wait(250ms);
+    REQUIRE(shard.told() == "-draft-1:1"); // four stay in the reserve
+}
+
+TEST_CASE("without an endpoint tickets wait for the grace only")
+{
+    Shard shard(threeTiers());
+    shard.pool.takers = false;
+    shard.ticket(ticketOf("a", "draft"));
+    REQUIRE(shard.told().empty());
+    shard.wait(2s);
+    REQUIRE(shard.told() == "-a:4");
+    shard.ticket(ticketOf("b", "draft"));
+    REQUIRE(shard.told() == "-b:4");
+    shard.pool.takers = true;
+    shard.ticket(ticketOf("c", "draft"));
+    REQUIRE(shard.told() == "+c");
+}
+
+TEST_CASE("over the budget the lowest tier goes first, from the customer with the most", "[tier-order]")
+{
+    ArbiterOptions options;
+    options.queueBudget = 3;
+    options.reservedPlaces = 1;
+    Shard shard(threeTiers(), 1, options);
+    shard.ticket(ticketOf("running", "query"));
+    shard.ticket(ticketOf("t1", "tagging", "large"));
+    shard.ticket(ticketOf("t2", "tagging", "large"));
+    shard.ticket(ticketOf("t3", "tagging", "small"));
+    shard.ticket(ticketOf("t4", "tagging", "large"));
+    REQUIRE(shard.told() == "+running"); // one in the reserve, three in the budget
+    shard.ticket(ticketOf("d1", "draft"));
+    REQUIRE(shard.told().empty()); // in its own reserve
+    shard.ticket(ticketOf("d2", "draft"));
+    REQUIRE(shard.told() == "-t4:2");
+    shard.ticket(ticketOf("q1", "query"));
+    shard.ticket(ticketOf("q2", "query"));
+    shard.ticket(ticketOf("q3", "query"));
+    REQUIRE(shard.told() == "-t2:2 -t3:2");
+    shard.ticket(ticketOf("t5", "tagging"));
+    REQUIRE(shard.told() == "-t5:2"); // in favour of the one that came first
+    shard.ticket(ticketOf("q4", "query"));
+    REQUIRE(shard.told() == "-d2:2");
+    shard.ticket(ticketOf("q5", "query"));
+    REQUIRE(shard.told() == "-q5:2");
+    REQUIRE(shard.arbiter.status().shedByTier == std::map<Tier, std::uint64_t>{{Tier{0}, 1}, {Tier{1}, 1}, {Tier{2}, 4}});
+}
+
+TEST_CASE("a class over its own limit loses its own")
+{
+    std::shared_ptr<PresetInForce> preset = threeTiers();
+    preset->preset.classes[1].queueLimit = 2;
+    Shard shard(preset);
+    for (const char *request : {"running", "d1", "d2", "d3"}) {
+        shard.ticket(ticketOf(request, "draft"));
+    }
+    REQUIRE(shard.told() == "+running -d3:2");
+}
+
+TEST_CASE("preemption stops the newest work of the lowest tier for an urgent higher request", "[tier-order]")
+{
+    std::shared_ptr<PresetInForce> preset = presetOf({classRule("query", 0), classRule("draft", 1, 0.4), classRule("tagging", 2), classRule("fixed", 2)});
+    for (const std::size_t i : {0, 1, 2}) {
+        preset->preset.classes[i].preemptible = true;
+        preset->preset.classes[i].firstTokenTarget = 1s;
+    }
+    preset->preset.preemption = GENERATE(true, false);
+    Shard shard(preset, 4);
+    for (const char *work : {"tagging", "draft", "fixed", "query"}) {
+        shard.ticket(ticketOf(std::string("running-") + work, work));
+    }
+    shard.ticket(ticketOf("tagging", "tagging"));
+    REQUIRE(shard.told() == "+running-tagging +running-draft +running-fixed +running-query");
+    for (const char *request : {"q1", "q2", "q3"}) {
+        shard.ticket(ticketOf(request, "query"));
+    }
+    shard.wait(700ms);
+    REQUIRE(shard.told().empty());
+    shard.wait(50ms);
+    shard.wait(50ms);
+    shard.wait(50ms);
+    if (!preset->preset.preemption) {
+        REQUIRE(shard.told().empty());
+        return;
+    }
+    REQUIRE(shard.told() == "!running-tagging !running-draft");
+    shard.release("running-tagging", ReleaseKind::Cancelled, 3);
+    shard.release("running-draft", ReleaseKind::Cancelled, 3);
+    REQUIRE(shard.told() == "+q1 +q2");
+}
+
+TEST_CASE("a place freed by preemption never goes to a lower class by its share", "[tier-order]")
+{
+    // A draft is stopped for a query; the tagging class, below both, is due by its minimum share at that moment.
+    // Without the debt the freed place goes to tagging: a draft was stopped to make room for a lower request.
+    std::shared_ptr<PresetInForce> preset = presetOf({classRule("query", 0), classRule("draft", 1), classRule("tagging", 2, 0.5)});
+    preset->preset.preemption = true;
+    preset->preset.classes[1].preemptible = true;
+    Shard shard(preset, 2);
+    shard.ticket(ticketOf("draft", "draft"));
+    shard.ticket(ticketOf("q0", "query"));
+    shard.ticket(ticketOf("tagging", "tagging"));
+    for (const char *request : {"q1", "q2", "q3", "q4"}) {
+        shard.ticket(ticketOf(request, "query"));
+    }
+    shard.release("q0");
+    shard.release("q1"); // with the next, two grants while tagging waits: it is due
+    REQUIRE(shard.told() == "+draft +q0 +q1 +q2");
+    shard.wait(1s);
+    REQUIRE(shard.told() == "!draft");
+    shard.release("draft", ReleaseKind::Cancelled, 3);
+    REQUIRE(shard.told() == "+q3");
+    shard.release("q2");
+    REQUIRE(shard.told() == "+tagging");
+}
+
+TEST_CASE("fifo grants by arrival and sheds the newest")
+{
+    ArbiterOptions options;
+    options.queueBudget = 3;
+    std::shared_ptr<PresetInForce> preset = threeTiers();
+    preset->preset.arbitration = ArbitrationMode::Fifo;
+    Shard shard(preset, 1, options);
+    for (const char *work : {"tagging", "draft", "tagging", "query", "query"}) {
+        const std::string request = work + std::to_string(shard.arbiter.status().queued);
+        shard.ticket(ticketOf(request, work));
+    }
+    REQUIRE(shard.told() == "+tagging0 -query3:2");
+    REQUIRE(shard.drain("tagging0") == "draft0 tagging1 query2");
+}
+
+TEST_CASE("a release teaches the pool and the lengths only what was seen")
+{
+    const auto [kind, endpoint, sampled] = GENERATE(table<ReleaseKind, std::string, bool>({
+        {ReleaseKind::Completed, "engine-0", true},
+        {ReleaseKind::Completed, "engine-9", false}, // ran under another grant
+        {ReleaseKind::EndpointFailed, "engine-0", true},
+        {ReleaseKind::EndpointRefused, "engine-0", false},
+        {ReleaseKind::Cancelled, "engine-0", true},
+        {ReleaseKind::Unused, "engine-0", false},
+    }));
+    Shard shard(threeTiers());
+    shard.ticket(ticketOf("a", "draft"));
+    Release release{attempt("a"), EndpointId(endpoint), kind, 100ms, 20ms, 40, 8};
+    shard.arbiter.release(shard.now, release);
+    REQUIRE(shard.pool.totalUsed() == 0);
+    REQUIRE(shard.pool.samples.size() == (sampled ? 1 : 0));
+    if (sampled) {
+        REQUIRE(shard.pool.samples[0].failed == (kind == ReleaseKind::EndpointFailed));
+        REQUIRE(shard.pool.samples[0].tokens == 40);
     }
-    REQUIRE(arbiter.takeActions().size() == 1);
-    arbiter.release(now, Release{{RequestId("r"), 0}, EndpointId("engine-1")});
-    const std::vector<ArbiterAction> actions = arbiter.takeActions();
-    REQUIRE(actions.size() == 1);
-    REQUIRE(std::get<Grant>(actions[0].message).id.attempt == 2);
 }
--- a/src/arbiter/arbiterimpl.h
+++ b/src/arbiter/arbiterimpl.h
@@ -155,6 +155,7 @@
     const ClassRule *rule = m_order.rules().findClass(held.ticket.classId);
     Permit permit = makePermit(now, held.ticket, rule ? rule->tier : Tier{}, held.endpoint);
     permit.resent = true;
+    permit.preemptible = false; // a minimum share may have granted it
     permit.tokens = held.tokensSoFar;
     m_pool.reserve(now, permit.reservation, permit.ticket.prefixDigests);
     m_order.correctCharge(permit.tier, permit.ticket.customer, permit.charge);
@@ -249,6 +250,7 @@
 void Arbiter<Pool>::dispatch(TimePoint now)
 {
     while (m_order.queue().size() > 0 && mayGrant(now) && grantOne(now)) { }
+    m_owedInTurn = m_order.queue().size() > 0 ? m_owedInTurn : 0;
 }
 
 template <EndpointChooser Pool>
@@ -275,13 +277,17 @@
 bool Arbiter<Pool>::grantOne(TimePoint now)
 {
     const Duration guard = 2 * m_rate.timeFor(1, m_permits.size()).value_or(Duration::zero());
-    const std::optional<GrantOrder::Pick> pick = m_owedInTurn > 0 ? m_order.nextInTurn() : m_order.next(now, guard);
-    const Ticket &wanted = pick->queued->ticket;
-    const std::optional<EndpointChoice> choice = chooseFor(now, wanted);
+    std::optional<GrantOrder::Pick> pick = m_owedInTurn > 0 ? m_order.nextInTurn() : m_order.next(now, guard);
+    std::optional<EndpointChoice> choice = chooseFor(now, pick->queued->ticket);
+    if (!choice && pick->outOfTurn) {
+        // The due class has to wait for a larger place; the request that is next in order must not wait for it too.
+        pick = m_order.nextInTurn();
+        choice = chooseFor(now, pick->queued->ticket);
+    }
     if (!choice) {
         return false; // a smaller one further back might fit, but it would overtake
     }
-    Permit permit = makePermit(now, wanted, pick->queued->tier, choice->endpoint);
+    Permit permit = makePermit(now, pick->queued->ticket, pick->queued->tier, choice->endpoint);
     permit.preemptible = permit.preemptible && !pick->outOfTurn;
     m_counters.progressGrants += pick->outOfTurn ? 1 : 0;
     m_owedInTurn -= m_owedInTurn > 0 ? 1 : 0;
--- a/src/arbiter/grantorder.cpp
+++ b/src/arbiter/grantorder.cpp
@@ -12,6 +12,19 @@
 namespace Rhubarbwind
 {
 
+namespace
+{
+
+// Durations come from other hosts; an absurd one must not overflow a time point.
+constexpr Duration longestWait = 24h;
+
+bool isNewer(const QueuedTicket &left, const QueuedTicket &right)
+{
+    return std::pair(left.arrived, left.sequence) > std::pair(right.arrived, right.sequence);
+}
+
+} // namespace
+
 GrantOrder::GrantOrder(const ArbiterOptions &options)
     : m_options(options)
 {
@@ -58,9 +71,9 @@
     QueuedTicket queued;
     queued.ticket = ticket;
     queued.tier = rule->tier;
-    queued.arrived = now - ticket.waited;
+    queued.arrived = now - std::clamp(ticket.waited, Duration::zero(), longestWait);
     queued.due = queued.arrived + rule->firstTokenTarget;
-    queued.deadline = now + ticket.deadlineIn;
+    queued.deadline = now + std::min(ticket.deadlineIn, longestWait);
     queued.sequence = ++m_sequence;
     return enqueue(std::move(queued));
 }
@@ -180,37 +193,31 @@
 
 const QueuedTicket *GrantOrder::newestOfFattest(const TicketQueue::Backlogs &backlogs, const ClassId *only) const
 {
-    const TicketQueue::Backlog *fattest = nullptr;
-    const CustomerId *fattestCustomer = nullptr;
+    const QueuedTicket *victim = nullptr;
     double most = 0;
     for (const auto &[customer, backlog] : backlogs) {
-        const double size = sizeForWeight(customer, backlog, only);
-        if (size > most || (size == most && fattestCustomer && customer < *fattestCustomer)) {
-            fattest = &backlog;
-            fattestCustomer = &customer;
+        const Shedable shedable = shedableOf(backlog, only);
+        const double size = static_cast<double>(shedable.size) / m_rules.weightOf(customer);
+        if (size > 0 && (size > most || (size == most && isNewer(*shedable.newest, *victim)))) {
+            victim = shedable.newest;
             most = size;
         }
     }
-    const QueuedTicket *newest = nullptr;
-    if (!fattest) {
-        return newest;
-    }
-    for (const auto &[classId, line] : fattest->classes) {
-        const QueuedTicket *last = line.rbegin()->ticket;
-        if (isShedable(classId, only) && (!newest || std::pair(newest->arrived, newest->sequence) < std::pair(last->arrived, last->sequence))) {
-            newest = last;
-        }
-    }
-    return newest;
+    return victim;
 }
 
-double GrantOrder::sizeForWeight(const CustomerId &customer, const TicketQueue::Backlog &backlog, const ClassId *only) const
+GrantOrder::Shedable GrantOrder::shedableOf(const TicketQueue::Backlog &backlog, const ClassId *only) const
 {
-    std::size_t size = 0;
+    Shedable shedable;
     for (const auto &[classId, line] : backlog.classes) {
-        size += isShedable(classId, only) ? line.size() : 0;
+        if (!isShedable(classId, only)) {
+            continue;
+        }
+        const QueuedTicket *last = line.rbegin()->ticket;
+        shedable.newest = !shedable.newest || isNewer(*last, *shedable.newest) ? last : shedable.newest;
+        shedable.size += line.size();
     }
-    return static_cast<double>(size) / m_rules.weightOf(customer);
+    return shedable;
 }
 
 bool GrantOrder::isShedable(const ClassId &id, const ClassId *only) const
--- a/src/arbiter/grantorder.h
+++ b/src/arbiter/grantorder.h
@@ -91,9 +91,16 @@
     const TicketQueue &queue() const;
 
 private:
+    /** What of a customer's backlog may be shed. */
+    struct Shedable
+    {
+        std::size_t size = 0;
+        const QueuedTicket *newest = nullptr;
+    };
+
     std::optional<Pick> pickOfClass(const ClassId &id) const;
     const QueuedTicket *newestOfFattest(const TicketQueue::Backlogs &backlogs, const ClassId *only) const;
-    double sizeForWeight(const CustomerId &customer, const TicketQueue::Backlog &backlog, const ClassId *only) const;
+    Shedable shedableOf(const TicketQueue::Backlog &backlog, const ClassId *only) const;
     bool isShedable(const ClassId &id, const ClassId *only) const;
     std::size_t reserveOf(const ClassId &id) const;
     std::size_t grantsByShare(std::size_t position, const ClassId &id) const;
