--- a/src/arbiter/arbiterhostterm.h
+++ b/src/arbiter/arbiterhostterm.h
@@ -16,6 +16,7 @@
 #include "arbiter/arbiter.h"
 #include "arbiter/permitdeskpeer.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -218,6 +219,9 @@
     void collect()
     {
         for (ArbiterAction &action : m_arbiter->takeActions()) {
+            if (!m_peers.contains(action.host)) {
+                continue; // gone; if it comes back, it tells its tickets again and is answered anew
+            }
             std::vector<PermitAnswers> &answers = m_pending[action.host];
             if (answers.empty() || isFull(answers.back())) {
                 answers.emplace_back();
--- a/src/arbiter/localshare.cpp
+++ b/src/arbiter/localshare.cpp
@@ -80,8 +80,7 @@
 
 void LocalShare::loadReport(TimePoint now, const LoadReport &report)
 {
-    const bool known =
-        std::any_of(m_endpoints.begin(), m_endpoints.end(), [&report](const Endpoint &endpoint) { return endpoint.id == report.endpoint; });
+    const bool known = std::any_of(m_endpoints.begin(), m_endpoints.end(), [&report](const Endpoint &endpoint) { return endpoint.id == report.endpoint; });
     if (known) {
         m_reports[report.endpoint] = {report.running + report.waiting, now - report.age};
     }
@@ -306,9 +305,8 @@
 
 std::size_t LocalShare::startedSince(const EndpointId &endpoint, TimePoint since) const
 {
-    return static_cast<std::size_t>(std::count_if(m_running.begin(), m_running.end(), [&](const auto &entry) {
-        return entry.second.endpoint == endpoint && entry.second.since > since;
-    }));
+    return static_cast<std::size_t>(
+        std::count_if(m_running.begin(), m_running.end(), [&](const auto &entry) { return entry.second.endpoint == endpoint && entry.second.since > since; }));
 }
 
 void LocalShare::refreshShares(TimePoint now)
--- a/src/arbiter/permitcodec.cpp
+++ b/src/arbiter/permitcodec.cpp
@@ -314,16 +314,8 @@
     });
     const auto preemptions =
         encodeList(builder, answers.preemptions, maxBatchEntries, [&](const Preemption &preemption) { return encodeAttempt(builder, preemption.id); });
-    builder.Finish(Fb::CreateArbiterAnswers(builder,
-                                            shard,
-                                            answers.epoch,
-                                            answers.incarnation,
-                                            answers.sequence,
-                                            answers.acknowledged,
-                                            answers.needComplete,
-                                            grants,
-                                            refusals,
-                                            preemptions));
+    builder.Finish(Fb::CreateArbiterAnswers(
+        builder, shard, answers.epoch, answers.incarnation, answers.sequence, answers.acknowledged, answers.needComplete, grants, refusals, preemptions));
     return finished(builder);
 }
 
@@ -344,8 +336,7 @@
     requests.onlyTerm = reader.number(root->only_term());
     requests.sequence = reader.number(root->sequence());
     requests.complete = root->complete();
-    requests.tickets =
-        reader.list(root->tickets(), maxBatchEntries, [&](const Fb::TicketEntry *entry) { return reader.ticket(entry, requests.sender); });
+    requests.tickets = reader.list(root->tickets(), maxBatchEntries, [&](const Fb::TicketEntry *entry) { return reader.ticket(entry, requests.sender); });
     requests.cancels = reader.list(root->cancels(), maxBatchEntries, [&](const Fb::Attempt *entry) { return reader.attempt(entry); });
     requests.releases = reader.list(root->releases(), maxBatchEntries, [&](const Fb::ReleaseEntry *entry) { return reader.release(entry); });
     requests.progress = reader.list(root->progress(), maxBatchEntries, [&](const Fb::ProgressEntry *entry) {
