--- /dev/null
+++ b/src/load/report.cpp
@@ -0,0 +1,135 @@
+#include "load/report.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace Rhubarbwind
+{
+
+namespace
+{
+
+constexpr std::size_t longestLine = 512;
+
+double milliseconds(Duration duration)
+{
+    return toSeconds(duration) * 1000;
+}
+
+double perSecond(std::uint64_t count, Duration elapsed)
+{
+    return elapsed > Duration::zero() ? static_cast<double>(count) / toSeconds(elapsed) : 0;
+}
+
+std::uint64_t notWhole(const ClassTally &tally)
+{
+    return tally.count(CallerOutcome::FailedAfterStart) + tally.count(CallerOutcome::Unknown) + tally.count(CallerOutcome::NoAnswer);
+}
+
+double wastedShare(const ClassTally &tally)
+{
+    return tally.generatedTokens == 0 ? 0 : static_cast<double>(tally.wastedTokens()) / static_cast<double>(tally.generatedTokens);
+}
+
+void printClass(std::ostream &out, const ClassTally &tally, const std::string &tier, Duration elapsed)
+{
+    std::array<char, longestLine> line{};
+    std::snprintf(line.data(),
+                  line.size(),
+                  "%-20s %4s %6llu %7.3f %6llu %7llu %6llu %5llu %7.0f %7.0f %7.0f %8.1f %8.1f %6.2f%% %5llu %4llu %5llu\n",
+                  tally.name.c_str(),
+                  tier.c_str(),
+                  static_cast<unsigned long long>(tally.sent),
+                  tally.attainment(),
+                  static_cast<unsigned long long>(tally.count(CallerOutcome::Completed)),
+                  static_cast<unsigned long long>(tally.count(CallerOutcome::NotRun)),
+                  static_cast<unsigned long long>(notWhole(tally)),
+                  static_cast<unsigned long long>(tally.count(CallerOutcome::Left)),
+                  milliseconds(tally.firstTokenQuantile(0.5)),
+                  milliseconds(tally.firstTokenQuantile(0.95)),
+                  milliseconds(tally.firstTokenQuantile(0.99)),
+                  perSecond(tally.goodTokens, elapsed),
+                  perSecond(tally.deliveredTokens, elapsed),
+                  100 * wastedShare(tally),
+                  static_cast<unsigned long long>(tally.count(CallerOutcome::Wrong)),
+                  static_cast<unsigned long long>(tally.duplicates),
+                  static_cast<unsigned long long>(tally.notRunThatRan));
+    out << line.data();
+}
+
+void printShed(std::ostream &out, const Tally &tally)
+{
+    std::map<std::uint8_t, std::pair<std::uint64_t, std::uint64_t>> byTier;
+    for (const ClassTally &of : tally.classes()) {
+        byTier[of.tier.level].first += of.count(CallerOutcome::NotRun);
+        byTier[of.tier.level].second += of.sent;
+    }
+    out << "not-run by tier:";
+    for (const auto &[tier, counts] : byTier) {
+        out << "  " << static_cast<unsigned>(tier) << ": " << counts.first << " of " << counts.second;
+    }
+    out << "\n";
+}
+
+} // namespace
+
+void printTable(std::ostream &out, const std::string &label, const Tally &tally, const LoadRunReport &run, const std::vector<BrokenPromise> &broken)
+{
+    out << "== " << label << "\n"
+        << "class                tier   sent  attain  whole not-run broken  left ttft50  ttft95  ttft99  good/s   deliv/s  wasted  wrong twice notran\n";
+    for (const ClassTally &of : tally.classes()) {
+        printClass(out, of, std::to_string(of.tier.level), run.elapsed);
+    }
+    const ClassTally total = tally.total();
+    printClass(out, total, "", run.elapsed);
+    printShed(out, tally);
+    out << "reasons:";
+    for (const auto &[reason, count] : total.reasons) {
+        out << "  " << reason << ": " << count;
+    }
+    out << "\n";
+    if (run.endpointsWithoutCounters > 0) {
+        out << "counters missing from " << run.endpointsWithoutCounters << " stand-ins: runs there are not checked\n";
+    }
+    for (const BrokenPromise &promise : broken) {
+        out << "BROKEN " << promise.className << ": " << promise.requests << " " << promise.what << "\n";
+    }
+}
+
+void printJsonLines(std::ostream &out, const std::string &label, const Tally &tally, const LoadRunReport &run)
+{
+    std::vector<ClassTally> lines = tally.classes();
+    lines.push_back(tally.total());
+    for (const ClassTally &of : lines) {
+        boost::json::object outcomes;
+        for (std::size_t outcome = 0; outcome < callerOutcomes; ++outcome) {
+            outcomes[callerOutcomeName(static_cast<CallerOutcome>(outcome))] = of.outcomes[outcome];
+        }
+        boost::json::object reasons;
+        for (const auto &[reason, count] : of.reasons) {
+            reasons[reason] = count;
+        }
+        const boost::json::object line{{"label", label},
+                                       {"class", of.name},
+                                       {"tier", of.tier.level},
+                                       {"sent", of.sent},
+                                       {"attainment", of.attainment()},
+                                       {"outcomes", std::move(outcomes)},
+                                       {"reasons", std::move(reasons)},
+                                       {"first_token_p50_ms", milliseconds(of.firstTokenQuantile(0.5))},
+                                       {"first_token_p95_ms", milliseconds(of.firstTokenQuantile(0.95))},
+                                       {"first_token_p99_ms", milliseconds(of.firstTokenQuantile(0.99))},
+                                       {"first_token_max_ms", milliseconds(of.firstTokenQuantile(1))},
+                                       {"goodput_per_s", perSecond(of.goodTokens, run.elapsed)},
+                                       {"delivered_per_s", perSecond(of.deliveredTokens, run.elapsed)},
+                                       {"generated_tokens", of.generatedTokens},
+                                       {"wasted_tokens", of.wastedTokens()},
+                                       {"runs", of.runs},
+                                       {"duplicates", of.duplicates},
+                                       {"not_run_that_ran", of.notRunThatRan},
+                                       {"endpoints_without_counters", run.endpointsWithoutCounters}};
+        out << boost::json::serialize(line) << "\n";
+    }
+}
+
+} // namespace Rhubarbwind
--- /dev/null
+++ b/src/load/tally.cpp
@@ -0,0 +1,148 @@
+#include "load/tally.h"
+
+#include <algorithm>
+
+namespace Rhubarbwind
+{
+
+namespace
+{
+
+/** The better of two answers to one request: a completed one, else the one that tells the caller most. */
+const CallerResult &bestOf(const std::vector<CallerResult> &tries)
+{
+    static constexpr std::array<int, callerOutcomes> rank{0, 4, 2, 3, 5, 6, 1, 7, -1};
+    return *std::min_element(tries.begin(), tries.end(), [](const CallerResult &left, const CallerResult &right) {
+        return rank[static_cast<std::size_t>(left.outcome)] < rank[static_cast<std::size_t>(right.outcome)];
+    });
+}
+
+bool withinTargets(const MixClass &rule, const CallerResult &result)
+{
+    return result.outcome == CallerOutcome::Completed && result.firstToken <= rule.firstTokenTarget && result.interTokenP95 <= rule.interTokenTarget;
+}
+
+} // namespace
+
+std::string_view callerOutcomeName(CallerOutcome outcome)
+{
+    static constexpr std::array<std::string_view, callerOutcomes> names{
+        "completed", "not-run", "failed-after-start", "unknown", "repeated", "no-answer", "left", "rejected", "wrong"};
+    return names[static_cast<std::size_t>(outcome)];
+}
+
+void addCounters(const boost::json::object &counters, EndpointCounts &counts)
+{
+    const boost::json::value *ids = counters.if_contains("ids");
+    if (ids == nullptr || !ids->is_object()) {
+        return;
+    }
+    for (const auto &[id, value] : ids->get_object()) {
+        EndpointCount &count = counts[std::string(id)];
+        count.runs += value.at(0).to_number<std::uint32_t>();
+        count.generated += value.at(1).to_number<std::uint32_t>();
+    }
+}
+
+Duration ClassTally::firstTokenQuantile(double quantile) const
+{
+    if (firstTokens.empty()) {
+        return {};
+    }
+    return firstTokens[static_cast<std::size_t>(quantile * static_cast<double>(firstTokens.size() - 1))];
+}
+
+Tally::Tally(const Mix &mix)
+    : m_mix(mix)
+{
+    for (const MixClass &rule : mix.classes) {
+        ClassTally tally;
+        tally.name = rule.name;
+        tally.tier = rule.tier;
+        m_classes.push_back(std::move(tally));
+    }
+}
+
+void Tally::add(const PlannedRequest &request, const std::vector<CallerResult> &tries, const EndpointCount &ran)
+{
+    const MixClass &rule = m_mix.classes[request.classIndex];
+    ClassTally &tally = m_classes[request.classIndex];
+    const CallerResult &result = bestOf(tries);
+    ++tally.sent;
+    ++tally.outcomes[static_cast<std::size_t>(result.outcome)];
+    if (!result.reason.empty()) {
+        ++tally.reasons[result.reason];
+    }
+    if (withinTargets(rule, result)) {
+        ++tally.attained;
+        tally.goodTokens += result.tokens;
+    }
+    if (result.outcome == CallerOutcome::Completed) {
+        tally.deliveredTokens += result.tokens;
+        tally.firstTokens.push_back(result.firstToken);
+    }
+    tally.generatedTokens += ran.generated;
+    tally.runs += ran.runs;
+    if (!rule.idempotent && ran.runs > 1) {
+        ++tally.duplicates;
+    }
+    const bool toldNotRun = std::all_of(tries.begin(), tries.end(), [](const CallerResult &each) { return each.outcome == CallerOutcome::NotRun; });
+    if (toldNotRun && ran.runs > 0) {
+        ++tally.notRunThatRan;
+    }
+}
+
+void Tally::finish()
+{
+    for (ClassTally &tally : m_classes) {
+        std::sort(tally.firstTokens.begin(), tally.firstTokens.end());
+    }
+}
+
+ClassTally Tally::total() const
+{
+    ClassTally total;
+    total.name = "all";
+    for (const ClassTally &tally : m_classes) {
+        total.sent += tally.sent;
+        total.attained += tally.attained;
+        for (std::size_t outcome = 0; outcome < callerOutcomes; ++outcome) {
+            total.outcomes[outcome] += tally.outcomes[outcome];
+        }
+        for (const auto &[reason, count] : tally.reasons) {
+            total.reasons[reason] += count;
+        }
+        total.firstTokens.insert(total.firstTokens.end(), tally.firstTokens.begin(), tally.firstTokens.end());
+        total.goodTokens += tally.goodTokens;
+        total.deliveredTokens += tally.deliveredTokens;
+        total.generatedTokens += tally.generatedTokens;
+        total.runs += tally.runs;
+        total.duplicates += tally.duplicates;
+        total.notRunThatRan += tally.notRunThatRan;
+    }
+    std::sort(total.firstTokens.begin(), total.firstTokens.end());
+    return total;
+}
+
+std::vector<BrokenPromise> brokenPromises(const Tally &tally, bool expectWhole)
+{
+    std::vector<BrokenPromise> broken;
+    const auto expectNone = [&broken](const ClassTally &of, std::string what, std::uint64_t requests) {
+        if (requests > 0) {
+            broken.push_back({of.name, std::move(what), requests});
+        }
+    };
+    for (const ClassTally &of : tally.classes()) {
+        expectNone(of, "wrong or partial answers", of.count(CallerOutcome::Wrong));
+        expectNone(of, "non-idempotent requests that ran twice", of.duplicates);
+        expectNone(of, "answers `not-run` to requests that ran", of.notRunThatRan);
+        expectNone(of, "requests rejected as bad", of.count(CallerOutcome::Rejected));
+        if (expectWhole) {
+            expectNone(of, "answers that broke", of.count(CallerOutcome::FailedAfterStart) + of.count(CallerOutcome::Unknown));
+            expectNone(of, "callers without an answer", of.count(CallerOutcome::NoAnswer));
+        }
+    }
+    return broken;
+}
+
+} // namespace Rhubarbwind
--- a/src/standins/engineserver.cpp
+++ b/src/standins/engineserver.cpp
@@ -63,7 +63,7 @@
         if (!message.is_object()) {
             return std::nullopt;
         }
-        prompt += prompt.empty() ? "" : "\n";
+        prompt += &message == &messages->get_array().front() ? "" : "\n";
         prompt += textMember(message.get_object(), "content");
     }
     return prompt;
