Relay a caller's request to an endpoint and its stream back

Cause: the daemon's whole path needs a front that accepts, asks for a permit, streams and tells the outcome. Ruled out: a pool of endpoint connections. One that went silent unnoticed would swallow a request; a fresh connection costs a round trip.

--- a/src/relay/endpointexchange.cpp
+++ b/src/relay/endpointexchange.cpp
@@ -151,7 +151,9 @@
         m_headerSeen = true;
         const std::function<void(const EndpointHeader &)> onHeader = m_events.onHeader;
         if (onHeader) {
-            onHeader(readHeader(m_parser->get()));
+            EndpointHeader header = readHeader(m_parser->get());
+            header.framed = !m_parser->need_eof();
+            onHeader(header);
         }
         if (m_open && !m_paused) {
             readBody();
--- a/src/relay/endpointexchange.h
+++ b/src/relay/endpointexchange.h
@@ -47,6 +47,7 @@
     bool draining = false; ///< X-Draining: true
     Duration retryAfter{}; ///< zero when not told
     std::string contentType;
+    bool framed = true; ///< the answer tells its length; false: a cut-off one cannot be told from a whole one
 };
 
 enum class ExchangeEnd : std::uint8_t {
--- /dev/null
+++ b/src/relay/relaycall.cpp
@@ -0,0 +1,744 @@
+// Actions are carried out in order from one queue: a port that answers at once adds to the queue's end in
+// place of recursing, so an event never overtakes the actions of the one before it.
+
+#include "relay/relaycall.h"
+
+#include "base/requestid.h"
+#include "telemetry/log.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+
+namespace Rhubarbwind
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr std::uint32_t bytesPerToken = 4; // a common rule of thumb; the arbiter corrects it at release
+constexpr std::uint32_t progressEvery = 16; // tokens; spares the arbiter's link a message for each one
+constexpr std::size_t maxRejectionBytes = std::size_t{64} * 1024;
+constexpr std::uint32_t lateGapsInHundred = 5; // the inter-token target is for the 95th percentile
+constexpr std::uint32_t maxDoublings = 6;
+
+const Log &callLog()
+{
+    static const Log log{LogPart::Relay};
+    return log;
+}
+
+LifeRules rulesOf(const CallRequest &request, const RelayOptions &options, bool claimsFailing)
+{
+    LifeRules rules;
+    rules.idempotent = request.rule.idempotent;
+    rules.reproducible = request.rule.reproducible;
+    rules.resumable = request.chat.has_value();
+    rules.claimed = !request.claimKey.empty();
+    rules.claimFirst = claimsFailing;
+    // A run that may not be repeated is worth finishing: its caller may ask for it again by its key.
+    rules.outlivesCaller = rules.claimed || (!rules.idempotent && !rules.resumable);
+    rules.maxFailures = options.maxFailures;
+    rules.maxResumes = options.maxResumes;
+    rules.claimUnderPermit = options.claimUnderPermit;
+    return rules;
+}
+
+LifeRules adoptedRules(const RelayOptions &options)
+{
+    LifeRules rules;
+    rules.idempotent = false;
+    rules.maxResumes = options.maxResumes;
+    return rules;
+}
+
+// What an engine tells of a cancelled stream; zero when it tells nothing.
+std::uint32_t cancelledTokens(std::string_view body)
+{
+    boost::json::error_code error;
+    const boost::json::value value = boost::json::parse(body, error);
+    const boost::json::value *told = !error && value.is_object() ? value.get_object().if_contains("tokens") : nullptr;
+    const std::uint32_t tokens = told ? told->to_number<std::uint32_t>(error) : 0;
+    return error ? 0 : tokens;
+}
+
+} // namespace
+
+template <Clock ClockType>
+RelayCall<ClockType>::RelayCall(std::shared_ptr<RelayContext<ClockType>> context, CallRequest request)
+    : m_context(std::move(context))
+    , m_request(std::move(request))
+    , m_arrived(ClockType::now())
+    , m_life(rulesOf(m_request, m_context->options, m_context->claimsFailing),
+             m_context->retryBudget,
+             RetryAccount{m_request.customer, m_request.shard},
+             m_arrived + m_request.rule.queueDeadline)
+    , m_buffer(m_context->options.answer)
+    , m_deadlineTimer(m_context->io)
+    , m_delayTimer(m_context->io)
+    , m_returnTimer(m_context->io)
+    , m_rootSpan(freshSpanId())
+    , m_stepStarted(m_arrived)
+{
+}
+
+template <Clock ClockType>
+RelayCall<ClockType>::RelayCall(std::shared_ptr<RelayContext<ClockType>> context, CallRequest request, AdoptedStream stream, StreamOffset after)
+    : m_context(std::move(context))
+    , m_request(std::move(request))
+    , m_arrived(ClockType::now())
+    , m_life(adoptedRules(m_context->options), m_context->retryBudget, RetryAccount{m_request.customer, m_request.shard}, TimePoint::max())
+    , m_buffer(m_context->options.answer, after)
+    , m_adopted(std::move(stream))
+    , m_adoptedAfter(after)
+    , m_deadlineTimer(m_context->io)
+    , m_delayTimer(m_context->io)
+    , m_returnTimer(m_context->io)
+    , m_rootSpan(freshSpanId())
+    , m_stepStarted(m_arrived)
+{
+}
+
+template <Clock ClockType>
+RelayCall<ClockType>::~RelayCall()
+{
+    m_context->memoryBytes -= m_accounted;
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::accountMemory()
+{
+    const std::size_t bytes = m_request.bytes + m_buffer.bytes() + m_serviceBody.size();
+    m_context->memoryBytes = m_context->memoryBytes - m_accounted + bytes;
+    m_accounted = bytes;
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::start()
+{
+    accountMemory();
+    if (m_adopted) {
+        perform(m_life.adopt(m_adopted->attempt, m_adopted->endpoint, m_adoptedAfter));
+        return;
+    }
+    armDeadline();
+    perform(m_life.start(m_arrived));
+}
+
+template <Clock ClockType>
+bool RelayCall<ClockType>::addReader(const std::shared_ptr<HttpExchange> &exchange, bool streaming, StreamOffset after)
+{
+    if (after < m_buffer.forgotten() || (m_end && after > m_buffer.last())) {
+        return false;
+    }
+    m_returnTimer.cancel();
+    const std::shared_ptr<AnswerReader> reader = std::make_shared<AnswerReader>(exchange, streaming, after);
+    m_readers.push_back(reader);
+    // A reader keeps its call until it has everything: m_readers forgets it then, which ends the cycle.
+    exchange->onGone([self = this->shared_from_this()] { self->readerGone(); });
+    exchange->onDrained([self = this->shared_from_this()] { self->pumpReaders(); });
+    pumpReaders();
+    return true;
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::preempted(std::uint32_t attempt)
+{
+    perform(m_life.preempted(attempt));
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::perform(LifeActions actions)
+{
+    std::move(actions.begin(), actions.end(), std::back_inserter(m_actions));
+    if (m_performing) {
+        return;
+    }
+    const std::shared_ptr<RelayCall> self = this->shared_from_this();
+    m_performing = true;
+    while (!m_actions.empty()) {
+        const LifeAction action = std::move(m_actions.front());
+        m_actions.pop_front();
+        std::visit([this](const auto &each) { act(each); }, action);
+    }
+    m_performing = false;
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::act(const AskPermit &action)
+{
+    m_stepStarted = ClockType::now();
+    if (action.failures == 0) {
+        sendTicket(action);
+        return;
+    }
+    m_context->metrics.add("rhubarbwind_retries_total", classLabels());
+    m_delayTimer.expires_after(delayAfter(m_context->options.retryDelay, action.failures));
+    m_delayTimer.async_wait([self = this->shared_from_this(), action](error_code error) {
+        const bool current = self->m_life.state() == LifeState::AwaitPermit && self->m_life.attempt() == action.attempt;
+        if (!error && current) {
+            self->sendTicket(action);
+        }
+    });
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::sendTicket(const AskPermit &action)
+{
+    const TimePoint now = ClockType::now();
+    Ticket ticket;
+    ticket.id = attemptId(action.attempt);
+    ticket.entry = m_context->host;
+    ticket.classId = m_request.rule.name;
+    ticket.customer = m_request.customer;
+    ticket.waited = now - m_arrived;
+    ticket.deadlineIn = std::max(Duration::zero(), m_arrived + m_request.rule.queueDeadline - now);
+    const std::string &prompt = m_request.chat ? m_request.chat->promptText : m_request.body;
+    ticket.promptTokens = static_cast<std::uint32_t>(prompt.size() / bytesPerToken);
+    if (m_request.chat && m_context->options.prefixDigests) {
+        ticket.prefixDigests = m_context->options.prefixDigests(prompt);
+    }
+    ticket.avoid = action.avoid;
+    m_context->ports.askPermit(m_request.shard, ticket, [self = this->shared_from_this()](const PermitAnswer &answer) {
+        if (const Grant *grant = std::get_if<Grant>(&answer)) {
+            self->recordSpan(Hop::Queue, self->m_stepStarted, {{"endpoint", grant->endpoint.text()}, {"epoch", std::to_string(grant->epoch)}});
+            self->m_context->metrics.observe("rhubarbwind_queue_wait_seconds", self->classLabels(), toSeconds(ClockType::now() - self->m_stepStarted));
+            self->m_stepStarted = ClockType::now();
+            self->perform(self->m_life.granted(*grant, ClockType::now()));
+        } else {
+            self->recordSpan(Hop::Queue, self->m_stepStarted, {{"refused", std::to_string(static_cast<int>(std::get<Refusal>(answer).reason))}});
+            self->perform(self->m_life.refused(std::get<Refusal>(answer)));
+        }
+    });
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::act(const CancelTicket &action)
+{
+    m_delayTimer.cancel();
+    m_context->ports.cancelTicket(m_request.shard, attemptId(action.attempt));
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::act(const MakeClaim &action)
+{
+    m_stepStarted = ClockType::now();
+    m_context->ports.claim(m_request.claimKey, m_request.id, action.deadlineIn, [self = this->shared_from_this()](ClaimAnswer answer) {
+        self->recordSpan(Hop::Claim, self->m_stepStarted, {{"verdict", std::to_string(static_cast<int>(answer.verdict))}});
+        self->m_stepStarted = ClockType::now();
+        self->m_context->claimsFailing = answer.verdict == ClaimVerdict::Unavailable;
+        // An earlier claim of this very request whose answer was lost: it is ours, and nothing was sent under it.
+        if (answer.verdict == ClaimVerdict::Repeated && answer.holder == self->m_request.id) {
+            answer.verdict = ClaimVerdict::Granted;
+        }
+        self->perform(self->m_life.claimAnswered(answer, ClockType::now()));
+    });
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::act(const FinishClaim &action)
+{
+    m_context->ports.finishClaim(m_request.claimKey, m_request.id, action.state);
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::act(const Dispatch &action)
+{
+    m_endpoint = action.endpoint;
+    m_streamLabel = m_request.id.text() + "." + std::to_string(action.attempt) + "@" + action.endpoint.text();
+    m_serviceBody.clear();
+    m_lastProgress = 0;
+    open(action.connection, action.endpoint, dispatchRequest(action));
+}
+
+template <Clock ClockType>
+typename RelayCall<ClockType>::Exchange::Request RelayCall<ClockType>::dispatchRequest(const Dispatch &action) const
+{
+    typename Exchange::Request request(http::verb::post, "/v1/chat/completions", 11);
+    if (m_request.chat) {
+        request.set(http::field::content_type, "application/json");
+        request.body() = engineBody(*m_request.chat, action.enginePriority);
+    } else {
+        request.target(m_request.servicePath);
+        request.set(http::field::content_type, m_request.contentType);
+        request.body() = m_request.body;
+    }
+    request.set("X-Request-Id", m_request.id.text() + "." + std::to_string(action.attempt));
+    request.set("traceparent", traceParent({m_request.trace.traceId, m_rootSpan}));
+    return request;
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::act(const ResumeStream &action)
+{
+    m_context->metrics.add("rhubarbwind_resumes_total", classLabels());
+    m_endpoint = action.endpoint;
+    if (m_adopted) {
+        m_streamLabel = m_adopted->request.text() + "." + std::to_string(m_adopted->attempt) + "@" + action.endpoint.text();
+    }
+    if (action.tries <= 1) {
+        openResume(action);
+        return;
+    }
+    m_delayTimer.expires_after(delayAfter(m_context->options.resumeDelay, action.tries - 1));
+    m_delayTimer.async_wait([self = this->shared_from_this(), action](error_code error) {
+        if (!error && self->m_life.state() == LifeState::Resuming) {
+            self->openResume(action);
+        }
+    });
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::openResume(const ResumeStream &action)
+{
+    const RequestId &request = m_adopted ? m_adopted->request : m_request.id;
+    typename Exchange::Request get(http::verb::get, "/v1/streams/" + request.text() + "." + std::to_string(action.attempt), 11);
+    get.set("Last-Event-ID", std::to_string(action.after));
+    get.set("traceparent", traceParent({m_request.trace.traceId, m_rootSpan}));
+    m_stepStarted = ClockType::now();
+    open(action.connection, action.endpoint, std::move(get));
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::open(ConnectionNumber connection, const EndpointId &endpoint, typename Exchange::Request request)
+{
+    const std::optional<EndpointLocation> location = m_context->findEndpoint(endpoint);
+    if (!location) {
+        perform(m_life.connectFailed(connection));
+        return;
+    }
+    m_parser = SseParser();
+    m_rejected = false;
+    m_exchange = Exchange::create(m_context->io);
+    const std::shared_ptr<RelayCall> self = this->shared_from_this();
+    ExchangeEvents events;
+    events.onSending = [self, connection] {
+        if (self->m_life.state() == LifeState::Connecting) {
+            self->recordSpan(Hop::Connect, self->m_stepStarted, {{"endpoint", self->m_endpoint.text()}});
+            self->m_sentAt = ClockType::now();
+        }
+        self->perform(self->m_life.firstByteWritten(connection, ClockType::now()));
+    };
+    events.onHeader = [self, connection](const EndpointHeader &header) { self->headerCame(connection, header); };
+    events.onBody = [self, connection](std::string_view bytes) { self->bodyCame(connection, bytes); };
+    events.onEnd = [self, connection](ExchangeEnd how) { self->exchangeEnded(connection, how); };
+    const ExchangeBounds &bounds = isChat() ? m_context->options.engineBounds : m_context->options.serviceBounds;
+    request.set(http::field::host, location->ip + ":" + std::to_string(location->port));
+    m_exchange->start(*location, std::move(request), bounds, std::move(events));
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::act(const DropConnection & /*action*/)
+{
+    m_delayTimer.cancel();
+    if (m_exchange) {
+        m_exchange->cancel();
+        m_exchange = nullptr;
+    }
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::act(const CancelAtEndpoint &action)
+{
+    const std::optional<EndpointLocation> location = m_context->findEndpoint(action.endpoint);
+    const RequestId &request = m_adopted ? m_adopted->request : m_request.id;
+    const Labels labels = classLabels();
+    if (!location) {
+        m_context->metrics.add("rhubarbwind_wasted_tokens_total", labels, action.tokens);
+        return;
+    }
+    typename Exchange::Request cancel(http::verb::delete_, "/v1/streams/" + request.text() + "." + std::to_string(action.attempt), 11);
+    cancel.set(http::field::host, location->ip + ":" + std::to_string(location->port));
+    const std::shared_ptr<Exchange> exchange = Exchange::create(m_context->io);
+    const std::shared_ptr<std::string> body = std::make_shared<std::string>();
+    ExchangeEvents events;
+    events.onBody = [body](std::string_view bytes) {
+        if (body->size() + bytes.size() <= maxRejectionBytes) {
+            body->append(bytes);
+        }
+    };
+    events.onEnd = [body, labels, received = action.tokens, context = m_context](ExchangeEnd) {
+        context->metrics.add("rhubarbwind_wasted_tokens_total", labels, std::max(received, cancelledTokens(*body)));
+    };
+    exchange->start(*location, std::move(cancel), m_context->options.engineBounds, std::move(events));
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::act(const ReleasePermit &action)
+{
+    Release release;
+    release.id = attemptId(action.attempt);
+    release.endpoint = action.endpoint;
+    release.kind = action.kind;
+    release.firstToken = action.firstToken;
+    release.meanInterToken = action.meanInterToken;
+    release.tokens = action.tokens;
+    release.reusedPromptTokens = action.reusedPromptTokens;
+    m_context->ports.release(m_request.shard, release);
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::act(const RestartStream &action)
+{
+    if (!action.verify) {
+        m_buffer.clear();
+    }
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::act(const Answer &action)
+{
+    m_deadlineTimer.cancel();
+    m_delayTimer.cancel();
+    m_returnTimer.cancel();
+    if (m_exchange) {
+        m_exchange->cancel();
+        m_exchange = nullptr;
+    }
+    m_earlier = action.earlier;
+    m_end = AnswerEnd{action.outcome, action.error, action.retryAfter};
+    recordAnswer();
+    if (m_earlier && m_context->joinEarlier(*this, m_earlier->holder)) {
+        m_readers.clear();
+    }
+    pumpReaders();
+    m_context->onEnded(*this);
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::headerCame(ConnectionNumber connection, const EndpointHeader &header)
+{
+    if (header.draining && m_context->onDraining) {
+        m_context->onDraining(m_endpoint);
+    }
+    m_header = header;
+    if (isChat()) {
+        engineHeaderCame(connection, header);
+    } else {
+        serviceHeaderCame(connection, header);
+    }
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::engineHeaderCame(ConnectionNumber connection, const EndpointHeader &header)
+{
+    constexpr unsigned conflict = 409;
+    constexpr unsigned timeout = 408;
+    constexpr unsigned tooMany = 429;
+    const bool resuming = m_life.state() == LifeState::Resuming;
+    if (header.status == 200) {
+        if (resuming) {
+            recordSpan(Hop::Resume, m_stepStarted, {{"endpoint", m_endpoint.text()}});
+        }
+        perform(m_life.answerBegan(connection));
+    } else if (resuming) {
+        perform(header.status == 404 ? m_life.streamMissing(connection) : m_life.endpointFailed(connection));
+    } else if (header.status == conflict) {
+        // The engine holds this very attempt: the network doubled our send, and the first copy may be running.
+        // "Not started" is true of the copy only, so the stream is sought in place of believing it.
+        perform(m_life.broken(connection));
+    } else if (header.notStarted) {
+        perform(m_life.refusedNotStarted(connection, std::max<Duration>(header.retryAfter, 1s)));
+    } else if (header.status >= 400 && header.status < 500 && header.status != timeout && header.status != tooMany) {
+        m_rejected = true;
+    } else {
+        perform(m_life.endpointFailed(connection));
+    }
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::serviceHeaderCame(ConnectionNumber connection, const EndpointHeader &header)
+{
+    constexpr unsigned conflict = 409;
+    if (header.notStarted && header.status != conflict) {
+        perform(m_life.refusedNotStarted(connection, std::max<Duration>(header.retryAfter, 1s)));
+    } else if (header.status >= 500 || header.notStarted || !header.framed) {
+        perform(m_life.endpointFailed(connection));
+    } else {
+        perform(m_life.answerBegan(connection));
+    }
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::bodyCame(ConnectionNumber connection, std::string_view bytes)
+{
+    if (!isChat() || m_rejected) {
+        const std::size_t limit = m_rejected ? maxRejectionBytes : m_context->options.answer.maxBytes;
+        if (m_serviceBody.size() + bytes.size() > limit) {
+            perform(m_rejected ? m_life.endpointRejected(connection) : m_life.answerTooLarge(connection));
+            return;
+        }
+        m_serviceBody.append(bytes);
+        accountMemory();
+        return;
+    }
+    std::vector<SseEvent> events;
+    const bool fits = m_parser.feed(bytes, events).has_value();
+    const std::shared_ptr<Exchange> exchange = m_exchange;
+    for (SseEvent &event : events) {
+        // Dropped while its events were handled: the rest is of a connection that no longer counts.
+        if (m_exchange != exchange || m_life.ended()) {
+            return;
+        }
+        eventCame(connection, std::move(event));
+    }
+    accountMemory();
+    if (!fits && m_exchange == exchange) {
+        perform(m_life.answerTooLarge(connection));
+        return;
+    }
+    pumpReaders();
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::eventCame(ConnectionNumber connection, SseEvent event)
+{
+    if (event.data == chatDone) {
+        const std::string *last = m_buffer.find(m_buffer.last());
+        perform(m_life.done(connection, m_buffer.last(), last ? cachedTokens(*last) : 0));
+        return;
+    }
+    StreamOffset offset = 0;
+    std::from_chars(event.id.data(), event.id.data() + event.id.size(), offset);
+    const std::uint64_t digest = m_request.rule.reproducible ? choicesDigest(event.data) : std::hash<std::string>()(event.data);
+    switch (m_buffer.offer(offset, std::move(event.data), digest)) {
+    case OfferResult::Appended:
+        noteToken();
+        perform(m_life.token(connection, offset, ClockType::now()));
+        break;
+    case OfferResult::Doubled:
+        perform(m_life.token(connection, offset, ClockType::now()));
+        break;
+    case OfferResult::Gap:
+        perform(m_life.broken(connection));
+        break;
+    case OfferResult::Diverged:
+        perform(m_life.diverged(connection));
+        break;
+    case OfferResult::Full:
+        perform(m_life.answerTooLarge(connection));
+        break;
+    }
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::noteToken()
+{
+    const TimePoint now = ClockType::now();
+    if (!m_firstTokenAt) {
+        m_firstTokenAt = now;
+        recordSpan(Hop::FirstToken, m_sentAt, {{"endpoint", m_endpoint.text()}});
+        m_context->metrics.observe("rhubarbwind_first_token_seconds", classLabels(), toSeconds(now - m_arrived));
+    } else {
+        const Duration gap = now - m_lastTokenAt;
+        ++m_gaps;
+        m_lateGaps += gap > m_request.rule.interTokenTarget ? 1 : 0;
+        m_context->metrics.observe("rhubarbwind_inter_token_seconds", classLabels(), toSeconds(gap));
+    }
+    m_lastTokenAt = now;
+    if (!m_adopted && m_buffer.last() >= m_lastProgress + progressEvery) {
+        m_lastProgress = m_buffer.last();
+        m_context->ports.progress(m_request.shard, attemptId(m_life.attempt()), m_lastProgress);
+    }
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::exchangeEnded(ConnectionNumber connection, ExchangeEnd how)
+{
+    if (how == ExchangeEnd::ConnectFailed) {
+        perform(m_life.connectFailed(connection));
+    } else if (m_rejected) {
+        perform(m_life.endpointRejected(connection));
+    } else if (how == ExchangeEnd::Silent) {
+        perform(m_life.silent(connection));
+    } else if (how == ExchangeEnd::Whole && !isChat()) {
+        if (!m_firstTokenAt) {
+            m_firstTokenAt = ClockType::now();
+        }
+        perform(m_life.done(connection, 0, 0));
+    } else {
+        perform(m_life.broken(connection));
+    }
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::pumpReaders()
+{
+    const std::size_t limit = m_context->options.unsentBytes;
+    const std::vector<std::shared_ptr<AnswerReader>> readers = m_readers;
+    bool backlogged = false;
+    StreamOffset taken = m_buffer.last();
+    for (const std::shared_ptr<AnswerReader> &reader : readers) {
+        if (reader->pump(m_buffer, labels(), limit)) {
+            m_life.delivered();
+        }
+        backlogged = backlogged || (reader->isOpen() && reader->isBacklogged(limit));
+        taken = std::min(taken, reader->isStreaming() ? reader->cursor() : m_buffer.forgotten());
+        if (m_end && (!reader->isStreaming() || reader->caughtUp(m_buffer))) {
+            finishReader(*reader);
+        }
+    }
+    std::erase_if(m_readers, [](const std::shared_ptr<AnswerReader> &reader) { return !reader->isOpen(); });
+    if (!readers.empty()) {
+        m_buffer.taken(taken);
+    }
+    if (m_exchange) {
+        if (backlogged) {
+            m_exchange->pause();
+        } else {
+            m_exchange->resume();
+        }
+    }
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::finishReader(AnswerReader &reader)
+{
+    if (!reader.isOpen()) {
+        return;
+    }
+    if (reader.isStreaming() && m_end->error != RelayError::EndpointRejected && !m_earlier) {
+        reader.finishStream(*m_end, labels());
+    } else {
+        reader.respond(wholeAnswer(), labels());
+    }
+}
+
+template <Clock ClockType>
+HttpResponse RelayCall<ClockType>::wholeAnswer() const
+{
+    const bool passedOn = m_end->error == RelayError::EndpointRejected || (m_end->error == RelayError::None && !isChat());
+    if (passedOn) {
+        HttpResponse response(static_cast<http::status>(m_header.status), 11);
+        response.set(http::field::content_type, m_header.contentType.empty() ? "application/octet-stream" : m_header.contentType);
+        response.set("X-Rhubarbwind-Outcome", outcomeName(m_end->outcome));
+        response.body() = m_serviceBody;
+        return response;
+    }
+    if (m_end->error != RelayError::None) {
+        HttpResponse response = errorResponse(m_end->error, m_end->outcome, m_request.id, m_end->retryAfter);
+        if (m_earlier) {
+            response.set("X-Rhubarbwind-Earlier-Request", m_earlier->holder.text());
+        }
+        return response;
+    }
+    std::vector<std::string_view> chunks;
+    for (StreamOffset offset = 1; offset <= m_buffer.last(); ++offset) {
+        chunks.emplace_back(*m_buffer.find(offset));
+    }
+    HttpResponse response(http::status::ok, 11);
+    response.set(http::field::content_type, "application/json");
+    response.set("X-Rhubarbwind-Outcome", outcomeName(m_end->outcome));
+    response.body() = joinChunks(chunks);
+    return response;
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::readerGone()
+{
+    std::erase_if(m_readers, [](const std::shared_ptr<AnswerReader> &reader) { return !reader->isOpen(); });
+    if (!m_readers.empty() || m_life.ended()) {
+        return;
+    }
+    if (!m_request.resumable) {
+        perform(m_life.callerGone());
+        return;
+    }
+    if (m_exchange) {
+        m_exchange->resume();
+    }
+    m_returnTimer.expires_after(m_context->options.callerReturn);
+    m_returnTimer.async_wait([self = this->shared_from_this()](error_code error) {
+        if (!error && self->m_readers.empty()) {
+            self->perform(self->m_life.callerGone());
+        }
+    });
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::armDeadline()
+{
+    m_deadlineTimer.expires_after(m_request.rule.queueDeadline + m_context->options.deadlineGrace);
+    m_deadlineTimer.async_wait([self = this->shared_from_this()](error_code error) {
+        if (!error) {
+            self->perform(self->m_life.deadline());
+        }
+    });
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::recordSpan(Hop hop, TimePoint start, std::vector<SpanAttribute> attributes)
+{
+    const Duration duration = ClockType::now() - start;
+    const std::int64_t wallUs = std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    Span span;
+    span.traceId = m_request.trace.traceId;
+    span.spanId = hop == Hop::Answer ? m_rootSpan : freshSpanId();
+    span.parentSpanId = hop == Hop::Answer ? m_request.trace.parentSpanId : m_rootSpan;
+    span.request = m_request.id;
+    span.host = m_context->host;
+    span.hop = hop;
+    span.startUnixUs = wallUs - toMicroseconds(duration);
+    span.duration = duration;
+    span.attributes = std::move(attributes);
+    m_context->spans.record(std::move(span));
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::recordAnswer()
+{
+    const std::string outcome(outcomeName(m_end->outcome));
+    const std::string error(relayErrorInfo(m_end->error).type);
+    if (m_firstTokenAt && isChat()) {
+        recordSpan(Hop::Stream, *m_firstTokenAt, {{"tokens", std::to_string(m_buffer.last())}});
+    }
+    recordSpan(Hop::Answer, m_arrived, {{"class", m_request.rule.name.text()}, {"outcome", outcome}, {"error", error}});
+    Labels labels = classLabels();
+    labels.emplace_back("outcome", outcome);
+    m_context->metrics.add("rhubarbwind_requests_total", labels);
+    const bool inTime = m_firstTokenAt && *m_firstTokenAt - m_arrived <= m_request.rule.firstTokenTarget;
+    const bool steady = m_lateGaps * 100 <= m_gaps * lateGapsInHundred;
+    if (m_end->outcome == Outcome::Completed && inTime && steady && !m_adopted) {
+        m_context->metrics.add("rhubarbwind_target_met_total", classLabels());
+    }
+    if (m_end->outcome != Outcome::Completed) {
+        callLog().info("Request ended " + outcome + ": " + error + ".", m_request.id);
+    }
+}
+
+template <Clock ClockType>
+AttemptId RelayCall<ClockType>::attemptId(std::uint32_t attempt) const
+{
+    return {m_request.id, attempt};
+}
+
+template <Clock ClockType>
+AnswerLabels RelayCall<ClockType>::labels() const
+{
+    return {m_request.id, traceParent({m_request.trace.traceId, m_rootSpan}), isChat() ? m_streamLabel : std::string()};
+}
+
+template <Clock ClockType>
+Labels RelayCall<ClockType>::classLabels() const
+{
+    return {{"class", m_request.rule.name.text()}};
+}
+
+template <Clock ClockType>
+Duration RelayCall<ClockType>::delayAfter(Duration first, std::uint32_t times)
+{
+    const Duration ceiling = first * (1U << std::min(times - 1, maxDoublings));
+    return fromSeconds(m_context->random.uniform() * toSeconds(ceiling));
+}
+
+template class RelayCall<SteadyClock>;
+template class RelayCall<ManualClock>;
+
+} // namespace Rhubarbwind
--- /dev/null
+++ b/src/relay/relaycall.h
@@ -0,0 +1,192 @@
+#pragma once
+
+// One request in progress: the session that carries out what its RequestLife decides.
+//
+// It asks for permits, opens exchanges with endpoints, feeds their events into the answer's buffer and lets
+// every reader follow. It keeps itself alive while it waits for anything; RelayCore holds it by request id
+// until its answer need not be held any more.
+
+#include "base/random.h"
+#include "base/sessiontimer.h"
+#include "relay/answerreader.h"
+#include "relay/chatshape.h"
+#include "relay/relayoptions.h"
+#include "relay/requestlife.h"
+#include "relay/sseparser.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Rhubarbwind
+{
+
+template <Clock ClockType>
+class RelayCall;
+
+/** What every call of a host shares. */
+template <Clock ClockType>
+struct RelayContext
+{
+    boost::asio::io_context &io;
+    RelayOptions options;
+    RelayPorts ports;
+    EndpointLookup findEndpoint;
+    DrainingHandler onDraining;
+    Metrics &metrics;
+    SpanRing &spans;
+    HostId host;
+    RetryBudget retryBudget;
+    Random random;
+    bool claimsFailing = false;
+    std::size_t memoryBytes = 0; ///< held by all calls
+    std::function<void(RelayCall<ClockType> &)> onEnded;
+    /** An earlier request holds the claim: true if its answer is held here and the reader now follows it. */
+    std::function<bool(const RelayCall<ClockType> &repeat, const RequestId &holder)> joinEarlier;
+};
+
+/** What a caller asked for. */
+struct CallRequest
+{
+    RequestId id;
+    CustomerId customer;
+    ClassRule rule;
+    ShardId shard;
+    std::optional<ChatRequest> chat; ///< none: a plain service call
+    std::string servicePath;
+    std::string contentType;
+    std::string body; ///< of a service call
+    ClaimKey claimKey; ///< empty: none
+    bool resumable = false; ///< a caller that goes away is awaited
+    TraceContext trace;
+    std::size_t bytes = 0; ///< that the request holds in memory
+};
+
+/** A stream that an endpoint holds for an attempt of another host. */
+struct AdoptedStream
+{
+    RequestId request;
+    std::uint32_t attempt = 0;
+    EndpointId endpoint;
+};
+
+template <Clock ClockType>
+class RelayCall : public std::enable_shared_from_this<RelayCall<ClockType>>
+{
+public:
+    RelayCall(std::shared_ptr<RelayContext<ClockType>> context, CallRequest request);
+    /** The rest of a stream, after an offset. */
+    RelayCall(std::shared_ptr<RelayContext<ClockType>> context, CallRequest request, AdoptedStream stream, StreamOffset after);
+
+    ~RelayCall();
+    RelayCall(const RelayCall &) = delete;
+    RelayCall &operator=(const RelayCall &) = delete;
+
+    void start();
+    /** Lets one more connection follow the answer. False if the events after the offset are not held any more. */
+    bool addReader(const std::shared_ptr<HttpExchange> &exchange, bool streaming, StreamOffset after);
+    void preempted(std::uint32_t attempt);
+
+    const CallRequest &request() const
+    {
+        return m_request;
+    }
+    bool isChat() const
+    {
+        return m_request.chat.has_value() || m_adopted;
+    }
+    bool ended() const
+    {
+        return m_life.ended();
+    }
+    /** The readers that a call which joins an earlier one brings with it. */
+    const std::vector<std::shared_ptr<AnswerReader>> &readers() const
+    {
+        return m_readers;
+    }
+
+private:
+    using Exchange = EndpointExchange<ClockType>;
+
+    void perform(LifeActions actions);
+    void act(const AskPermit &action);
+    void act(const CancelTicket &action);
+    void act(const MakeClaim &action);
+    void act(const FinishClaim &action);
+    void act(const Dispatch &action);
+    void act(const ResumeStream &action);
+    void act(const DropConnection &action);
+    void act(const CancelAtEndpoint &action);
+    void act(const ReleasePermit &action);
+    void act(const RestartStream &action);
+    void act(const Answer &action);
+
+    void sendTicket(const AskPermit &action);
+    void openResume(const ResumeStream &action);
+    typename Exchange::Request dispatchRequest(const Dispatch &action) const;
+    void open(ConnectionNumber connection, const EndpointId &endpoint, typename Exchange::Request request);
+    void headerCame(ConnectionNumber connection, const EndpointHeader &header);
+    void engineHeaderCame(ConnectionNumber connection, const EndpointHeader &header);
+    void serviceHeaderCame(ConnectionNumber connection, const EndpointHeader &header);
+    void bodyCame(ConnectionNumber connection, std::string_view bytes);
+    void eventCame(ConnectionNumber connection, SseEvent event);
+    void exchangeEnded(ConnectionNumber connection, ExchangeEnd how);
+    void noteToken();
+    void accountMemory();
+
+    void pumpReaders();
+    void finishReader(AnswerReader &reader);
+    HttpResponse wholeAnswer() const;
+    void readerGone();
+    void armDeadline();
+    void recordSpan(Hop hop, TimePoint start, std::vector<SpanAttribute> attributes = {});
+    void recordAnswer();
+    AttemptId attemptId(std::uint32_t attempt) const;
+    AnswerLabels labels() const;
+    Labels classLabels() const;
+    Duration delayAfter(Duration first, std::uint32_t times);
+
+    std::shared_ptr<RelayContext<ClockType>> m_context;
+    CallRequest m_request;
+    TimePoint m_arrived;
+    RequestLife m_life;
+    StreamBuffer m_buffer;
+    std::optional<AdoptedStream> m_adopted;
+    StreamOffset m_adoptedAfter = 0;
+
+    std::deque<LifeAction> m_actions;
+    bool m_performing = false;
+
+    std::shared_ptr<Exchange> m_exchange;
+    SseParser m_parser;
+    bool m_rejected = false; ///< the body that comes is the endpoint's reason for turning the request down
+    EndpointHeader m_header; ///< of the answer in hand
+    std::string m_serviceBody;
+    std::string m_streamLabel;
+    EndpointId m_endpoint;
+
+    std::vector<std::shared_ptr<AnswerReader>> m_readers;
+    std::optional<AnswerEnd> m_end;
+    std::optional<ClaimAnswer> m_earlier;
+
+    SessionTimer<ClockType> m_deadlineTimer;
+    SessionTimer<ClockType> m_delayTimer;
+    SessionTimer<ClockType> m_returnTimer;
+
+    std::string m_rootSpan;
+    TimePoint m_stepStarted; ///< of the hop in progress: queue, claim, connect
+    TimePoint m_sentAt;
+    std::optional<TimePoint> m_firstTokenAt;
+    TimePoint m_lastTokenAt;
+    std::uint32_t m_gaps = 0;
+    std::uint32_t m_lateGaps = 0; ///< between tokens, longer than the class's target
+    std::uint32_t m_lastProgress = 0;
+    std::size_t m_accounted = 0; ///< this call's part of the context's memoryBytes
+};
+
+} // namespace Rhubarbwind
--- a/src/relay/requestlife.cpp
+++ b/src/relay/requestlife.cpp
@@ -82,6 +82,27 @@
     return actions;
 }
 
+LifeActions RequestLife::adopt(std::uint32_t attempt, const EndpointId &endpoint, StreamOffset after)
+{
+    LifeActions actions;
+    if (m_state != LifeState::Accepted) {
+        return actions;
+    }
+    m_attempt = attempt;
+    m_endpoint = endpoint;
+    m_facts.sent = true;
+    m_facts.began = true;
+    m_facts.tokens = after;
+    m_everSent = true;
+    m_everBegan = true;
+    m_delivered = true;
+    m_connection = 1;
+    m_connectionOpen = true;
+    m_state = LifeState::Resuming;
+    actions.push_back(ResumeStream{attempt, endpoint, after, m_connection, 1});
+    return actions;
+}
+
 LifeActions RequestLife::granted(const Grant &grant, TimePoint now)
 {
     LifeActions actions;
@@ -95,7 +116,9 @@
         return actions;
     }
     m_grantTaken = true;
-    m_permit = Permit{grant.endpoint, grant.enginePriority};
+    m_permitHeld = true;
+    m_endpoint = grant.endpoint;
+    m_enginePriority = grant.enginePriority;
     if (m_rules.claimed && !m_claimGranted) {
         m_state = LifeState::AwaitClaim;
         actions.push_back(MakeClaim{std::min({m_rules.claimUnderPermit, grant.expiresIn, m_queueDeadline - now})});
@@ -126,7 +149,7 @@
     }
     if (answer.verdict == ClaimVerdict::Granted) {
         m_claimGranted = true;
-        if (m_permit) {
+        if (m_permitHeld) {
             dispatch(actions);
         } else {
             askPermit(actions);
@@ -139,7 +162,7 @@
         actions.push_back(Answer{outcomeOf(answer.state), RelayError::ClaimRepeated, {}, answer});
         return actions;
     }
-    const bool underPermit = m_permit.has_value();
+    const bool underPermit = m_permitHeld;
     release(ReleaseKind::Unused, actions);
     if (underPermit && now < m_queueDeadline) {
         actions.push_back(MakeClaim{m_queueDeadline - now});
@@ -332,7 +355,7 @@
 {
     LifeActions actions;
     // Only a request that can still be answered whole gives way: one that may not run again runs to its end.
-    if (ended() || !m_permit || attempt != m_attempt || m_state == LifeState::AwaitClaim) {
+    if (ended() || !m_permitHeld || attempt != m_attempt || m_state == LifeState::AwaitClaim) {
         return actions;
     }
     if (m_facts.sent && !mayRunAgain()) {
@@ -388,7 +411,7 @@
     m_state = LifeState::Connecting;
     m_connectionOpen = true;
     ++m_connection;
-    actions.push_back(Dispatch{m_attempt, m_permit->endpoint, m_permit->enginePriority, m_connection});
+    actions.push_back(Dispatch{m_attempt, m_endpoint, m_enginePriority, m_connection});
 }
 
 void RequestLife::resumeOrFail(RelayError why, LifeActions &actions)
@@ -401,12 +424,12 @@
     actions.push_back(DropConnection{m_connection});
     ++m_connection;
     m_state = LifeState::Resuming;
-    actions.push_back(ResumeStream{m_attempt, m_permit->endpoint, m_facts.tokens, m_connection, m_resumes});
+    actions.push_back(ResumeStream{m_attempt, m_endpoint, m_facts.tokens, m_connection, m_resumes});
 }
 
 void RequestLife::failAttempt(RelayError why, ReleaseKind kind, Duration retryAfter, LifeActions &actions)
 {
-    const EndpointId endpoint = m_permit->endpoint;
+    const EndpointId endpoint = m_endpoint;
     closeAttempt(kind, actions);
     ++m_failures;
     if (takeRetry()) {
@@ -441,24 +464,24 @@
         m_mayHaveRun = true;
     }
     if (mayRun && m_rules.resumable && kind != ReleaseKind::Completed) {
-        actions.push_back(CancelAtEndpoint{m_attempt, m_permit->endpoint, m_facts.tokens});
+        actions.push_back(CancelAtEndpoint{m_attempt, m_endpoint, m_facts.tokens});
     }
     release(kind, actions);
 }
 
 void RequestLife::release(ReleaseKind kind, LifeActions &actions)
 {
-    if (!m_permit) {
+    if (!m_permitHeld) {
         return;
     }
-    ReleasePermit released{m_attempt, m_permit->endpoint, kind, {}, {}, m_facts.tokens, m_facts.reusedPromptTokens};
+    ReleasePermit released{m_attempt, m_endpoint, kind, {}, {}, m_facts.tokens, m_facts.reusedPromptTokens};
     if (m_facts.tokens > 0) {
         released.firstToken = m_facts.firstTokenAt - m_facts.sentAt;
     }
     if (m_facts.tokens > 1) {
         released.meanInterToken = (m_facts.lastTokenAt - m_facts.firstTokenAt) / (m_facts.tokens - 1);
     }
-    m_permit.reset();
+    m_permitHeld = false;
     actions.push_back(std::move(released));
 }
 
--- a/src/relay/requestlife.h
+++ b/src/relay/requestlife.h
@@ -152,6 +152,8 @@
     RequestLife(LifeRules rules, RetryBudget &budget, RetryAccount account, TimePoint queueDeadline);
 
     LifeActions start(TimePoint now);
+    /** In place of start(): goes on with a stream that an endpoint holds for another host's attempt. Needs no permit. */
+    LifeActions adopt(std::uint32_t attempt, const EndpointId &endpoint, StreamOffset after);
     LifeActions granted(const Grant &grant, TimePoint now);
     LifeActions refused(const Refusal &refusal);
     LifeActions claimAnswered(const ClaimAnswer &answer, TimePoint now);
@@ -203,12 +205,6 @@
     }
 
 private:
-    /** A grant in hand. */
-    struct Permit
-    {
-        EndpointId endpoint;
-        std::int32_t enginePriority = 0;
-    };
     /** What is known of the attempt in hand. */
     struct AttemptFacts
     {
@@ -245,7 +241,9 @@
     ConnectionNumber m_connection = 0; ///< the last one opened
     bool m_connectionOpen = false;
     bool m_grantTaken = false; ///< the grant of the attempt in hand came
-    std::optional<Permit> m_permit;
+    bool m_permitHeld = false;
+    EndpointId m_endpoint; ///< of the attempt in hand
+    std::int32_t m_enginePriority = 0;
     AttemptFacts m_facts;
     std::vector<EndpointId> m_avoid;
     bool m_claimGranted = false;
