--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -250,6 +250,11 @@
     return showFields(context, context.client.post("/admin/drain/endpoint/" + context.words.front(), {}));
 }
 
+ExitCode undrainEndpoint(const CommandContext &context)
+{
+    return showFields(context, context.client.remove("/admin/drain/endpoint/" + context.words.front()));
+}
+
 ExitCode logLevel(const CommandContext &context)
 {
     const boost::json::object body{{"part", context.words[0]}, {"level", context.words[1]}};
@@ -271,6 +276,7 @@
     Command{"explain", "REQUEST", "each hop of a request, gathered from all hosts", 1, 1, explain},
     Command{"drain host", "HOST", "planned stop of a host: finish what runs, then exit", 1, 1, drainHost},
     Command{"drain endpoint", "ENDPOINT", "no new work to an endpoint", 1, 1, drainEndpoint},
+    Command{"undrain endpoint", "ENDPOINT", "take the order back", 1, 1, undrainEndpoint},
     Command{"log-level", "PART LEVEL", "change a log level while running", 2, 2, logLevel},
 };
 
--- a/src/daemon/adminrouter.cpp
+++ b/src/daemon/adminrouter.cpp
@@ -28,7 +28,6 @@
     Route{"GET", "/admin/endpoints", AdminCall::Endpoints, false},
     Route{"GET", "/admin/customers", AdminCall::Customers, false},
     Route{"GET", "/admin/explain/{request}", AdminCall::Explain, false},
-    Route{"GET", "/admin/spans/{request}", AdminCall::Spans, false},
     Route{"GET", "/admin/presets", AdminCall::PresetList, false},
     Route{"GET", "/admin/presets/{name}", AdminCall::PresetShow, false},
     Route{"PUT", "/admin/presets/{name}", AdminCall::PresetApply, false},
@@ -36,6 +35,7 @@
     Route{"GET", "/admin/history", AdminCall::PresetHistory, false},
     Route{"POST", "/admin/drain/host/{host}", AdminCall::DrainHost, false},
     Route{"POST", "/admin/drain/endpoint/{endpoint}", AdminCall::DrainEndpoint, false},
+    Route{"DELETE", "/admin/drain/endpoint/{endpoint}", AdminCall::UndrainEndpoint, false},
     Route{"POST", "/admin/log-level", AdminCall::SetLogLevel, false},
 };
 
--- a/src/daemon/adminrouter.h
+++ b/src/daemon/adminrouter.h
@@ -35,8 +35,8 @@
     PresetHistory,
     DrainHost,
     DrainEndpoint,
+    UndrainEndpoint,
     SetLogLevel,
-    Spans,
 };
 
 enum class AdminRefusal : std::uint8_t {
--- a/src/relay/relaybench_test.h
+++ b/src/relay/relaybench_test.h
@@ -2,6 +2,7 @@
 
 // What the relay's session tests share: a relay over fake ports, scripted endpoints and plain callers.
 
+#include "base/digest.h"
 #include "relay/relay.h"
 
 #include <boost/asio.hpp>
--- a/src/relay/relaycore.cpp
+++ b/src/relay/relaycore.cpp
@@ -1,5 +1,6 @@
 #include "relay/relaycore.h"
 
+#include "base/digest.h"
 #include "base/requestid.h"
 
 #include <boost/asio.hpp>
