Decide who is alive by probing, suspicion and refutation

Cause: duties, presets and drains need every host's state, at a cost that does not grow with the fleet, and the host list lags. Ruled out: all-to-all heartbeats; heartbeats through the platform (its rates grow more slowly than the fleet).

--- /dev/null
+++ b/src/membership/fakefleet_test.h
@@ -0,0 +1,223 @@
+#pragma once
+
+// Many membership cores on virtual time with a lossy network between them; test support only.
+
+#include "membership/membership.h"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <string>
+
+namespace Rhubarbwind::FakeFleet
+{
+
+inline constexpr std::string_view secret = "fleet";
+inline constexpr Duration step = 10ms;
+/** What UDP and IP add to a datagram on the wire. */
+inline constexpr std::size_t udpOverhead = 28;
+
+struct Node
+{
+    Membership core;
+    Member self;
+    std::size_t place = 0; ///< address and failure domain; a replacement takes the place over
+    bool running = true;
+    bool frozen = false;
+    TimePoint nextTick;
+    std::vector<MembershipMessage> unread; ///< what the socket holds while the process is frozen
+    std::size_t bytesOut = 0;
+    std::size_t bytesIn = 0;
+    std::vector<Member> changes;
+};
+
+struct InFlight
+{
+    TimePoint due;
+    std::uint64_t order = 0;
+    std::size_t toPlace = 0;
+    std::vector<std::byte> bytes;
+    friend bool operator<(const InFlight &left, const InFlight &right)
+    {
+        return std::tie(left.due, left.order) > std::tie(right.due, right.order);
+    }
+};
+
+class Fleet
+{
+public:
+    Fleet(std::size_t hosts, std::uint64_t seed)
+        : m_random(seed)
+    {
+        for (std::size_t place = 0; place < hosts; ++place) {
+            add(place, "host-" + std::to_string(place));
+        }
+        listAll();
+    }
+
+    /** Starts a process; the host list is told by listAll(). */
+    Node &add(std::size_t place, const std::string &name)
+    {
+        Node node{Membership(MembershipSettings(), m_random.engine()()), {}, place, true, false, now, {}, 0, 0, {}};
+        node.self.host = HostId(name);
+        node.self.address = addressOf(place);
+        node.self.domain = FailureDomain("domain-" + std::to_string(place % 3));
+        node.self.incarnation.start = static_cast<std::uint64_t>(toMicroseconds(now.time_since_epoch()) / 1000) + 1;
+        node.nextTick = now + step * static_cast<Duration::rep>(m_random.below(10));
+        nodes.push_back(std::make_unique<Node>(std::move(node)));
+        Node &added = *nodes.back();
+        carryOut(added, added.core.start(now, added.self, list));
+        return added;
+    }
+
+    void listAll()
+    {
+        list.clear();
+        for (const std::unique_ptr<Node> &node : nodes) {
+            if (node->running) {
+                list.push_back({node->self.host, node->self.address, node->self.domain, false});
+            }
+        }
+        for (const std::unique_ptr<Node> &node : nodes) {
+            if (node->running && !node->frozen) {
+                carryOut(*node, node->core.hostList(now, list));
+            }
+        }
+    }
+
+    void run(Duration duration)
+    {
+        const TimePoint end = now + duration;
+        while (now < end) {
+            now += step;
+            deliverDue();
+            for (const std::unique_ptr<Node> &node : nodes) {
+                if (node->running && !node->frozen && node->nextTick <= now) {
+                    node->nextTick = now + MembershipSettings().tickInterval;
+                    carryOut(*node, node->core.tick(now));
+                }
+            }
+        }
+    }
+
+    /** Runs until the condition holds; returns how long that took, or the bound. */
+    template <class Condition>
+    Duration runUntil(Condition condition, Duration bound)
+    {
+        const TimePoint begin = now;
+        while (!condition() && now - begin < bound) {
+            run(step);
+        }
+        return now - begin;
+    }
+
+    void wake(Node &node)
+    {
+        node.frozen = false;
+        const std::vector<MembershipMessage> unread = std::exchange(node.unread, {});
+        if (m_random.below(2) == 0) {
+            carryOut(node, node.core.tick(now));
+        }
+        for (const MembershipMessage &message : unread) {
+            carryOut(node, node.core.datagram(now, message));
+        }
+    }
+
+    std::vector<HostId> running() const
+    {
+        std::vector<HostId> hosts;
+        for (const std::unique_ptr<Node> &node : nodes) {
+            if (node->running) {
+                hosts.push_back(node->self.host);
+            }
+        }
+        std::sort(hosts.begin(), hosts.end());
+        return hosts;
+    }
+
+    bool everyViewIs(const std::vector<HostId> &expected) const
+    {
+        return std::all_of(
+            nodes.begin(), nodes.end(), [&](const std::unique_ptr<Node> &node) { return !node->running || node->core.aliveHosts() == expected; });
+    }
+
+    static PeerAddress addressOf(std::size_t place)
+    {
+        return {"10.0." + std::to_string(place / 250) + "." + std::to_string(place % 250 + 1), 4000};
+    }
+
+    void carryOut(Node &node, const MembershipActions &actions)
+    {
+        for (const MembershipAction &action : actions) {
+            if (const SendDatagram *datagram = std::get_if<SendDatagram>(&action)) {
+                transmit(node, *datagram);
+            }
+            if (const MemberChanged *change = std::get_if<MemberChanged>(&action)) {
+                node.changes.push_back(change->member);
+            }
+        }
+    }
+
+    TimePoint now = TimePoint(1h);
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::vector<ListedHost> list;
+    double loss = 0;
+    Duration maxDelay = 20ms;
+    /** True when nothing passes from the first place to the second. */
+    std::function<bool(std::size_t from, std::size_t to)> cut = [](std::size_t, std::size_t) { return false; };
+    std::vector<std::vector<std::byte>> *recorded = nullptr;
+
+private:
+    void transmit(Node &node, const SendDatagram &datagram)
+    {
+        std::vector<std::byte> bytes = encodeDatagram(datagram.message, secret).value();
+        node.bytesOut += bytes.size() + udpOverhead;
+        if (recorded != nullptr) {
+            recorded->push_back(bytes);
+        }
+        const std::optional<std::size_t> place = placeOf(datagram.to);
+        if (!place || cut(node.place, *place) || m_random.uniform() < loss) {
+            return;
+        }
+        const Duration delay = 1ms + fromSeconds(m_random.uniform() * toSeconds(maxDelay));
+        m_inFlight.push({now + delay, m_order++, *place, std::move(bytes)});
+    }
+
+    void deliverDue()
+    {
+        constexpr std::size_t socketBuffer = 64;
+        while (!m_inFlight.empty() && m_inFlight.top().due <= now) {
+            const InFlight arrived = m_inFlight.top();
+            m_inFlight.pop();
+            for (const std::unique_ptr<Node> &node : nodes) {
+                if (!node->running || node->place != arrived.toPlace) {
+                    continue;
+                }
+                node->bytesIn += arrived.bytes.size() + udpOverhead;
+                const MembershipMessage message = decodeDatagram(arrived.bytes, secret).value();
+                if (!node->frozen) {
+                    carryOut(*node, node->core.datagram(now, message));
+                } else if (node->unread.size() < socketBuffer) {
+                    node->unread.push_back(message);
+                }
+            }
+        }
+    }
+
+    std::optional<std::size_t> placeOf(const PeerAddress &address) const
+    {
+        for (const std::unique_ptr<Node> &node : nodes) {
+            if (node->self.address == address) {
+                return node->place;
+            }
+        }
+        return std::nullopt;
+    }
+
+    Random m_random;
+    std::priority_queue<InFlight> m_inFlight;
+    std::uint64_t m_order = 0;
+};
+
+} // namespace Rhubarbwind::FakeFleet
--- /dev/null
+++ b/src/membership/membership_test.cpp
@@ -0,0 +1,416 @@
+#include "membership/membership.h"
+
+#include "base/rendezvous.h"
+#include "membership/fakefleet_test.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace Rhubarbwind;
+using FakeFleet::Fleet;
+using FakeFleet::Node;
+
+namespace
+{
+
+/** Enough for hosts to meet through the list, refute and repair by digest. */
+constexpr Duration settleTime = 60s;
+
+bool everDead(const Node &node, const HostId &host)
+{
+    return std::any_of(
+        node.changes.begin(), node.changes.end(), [&](const Member &change) { return change.host == host && change.state == MemberState::Dead; });
+}
+
+void converge(Fleet &fleet)
+{
+    REQUIRE(fleet.runUntil([&] { return fleet.everyViewIs(fleet.running()); }, settleTime) < settleTime);
+}
+
+/** Ends the process at the place and starts another there: under its name or a new one. */
+void replace(Fleet &fleet, std::size_t place, bool sameName)
+{
+    const auto former =
+        std::find_if(fleet.nodes.begin(), fleet.nodes.end(), [&](const std::unique_ptr<Node> &node) { return node->running && node->place == place; });
+    Node &node = **former;
+    node.running = false;
+    const std::string name = node.self.host.text();
+    fleet.add(place, sameName ? name : name + "+");
+}
+
+struct LeavingWatch
+{
+    void check(const Fleet &fleet)
+    {
+        for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+            for (const Member &member : fleet.nodes[i]->core.members()) {
+                bool &left = seen[{i, member.host, member.incarnation.start}];
+                RC_ASSERT((!left || member.leaving));
+                left = left || member.leaving;
+            }
+        }
+    }
+
+    std::map<std::tuple<std::size_t, HostId, std::uint64_t>, bool> seen;
+};
+
+void randomFault(Fleet &fleet, std::size_t hosts)
+{
+    const std::size_t place = *rc::gen::inRange<std::size_t>(0, hosts);
+    const std::size_t other = *rc::gen::inRange<std::size_t>(0, hosts);
+    Node &node = *fleet.nodes[*rc::gen::inRange<std::size_t>(0, fleet.nodes.size())];
+    switch (*rc::gen::inRange(0, 8)) {
+    case 0:
+        fleet.loss = *rc::gen::inRange(0, 40) / 100.0;
+        return;
+    case 1:
+        node.frozen = true;
+        return;
+    case 2:
+        if (node.frozen) {
+            fleet.wake(node);
+        }
+        return;
+    case 3:
+        fleet.cut = [place, other](std::size_t from, std::size_t to) { return from == place && (to == other || other % 2 == 0); };
+        return;
+    case 4:
+        fleet.cut = [place](std::size_t from, std::size_t to) { return (from % 3 == place % 3) != (to % 3 == place % 3); };
+        return;
+    case 5:
+        replace(fleet, place, *rc::gen::arbitrary<bool>());
+        return;
+    case 6:
+        if (node.running && !node.frozen) {
+            fleet.carryOut(node, node.core.leave(fleet.now));
+        }
+        return;
+    default:
+        if (node.running && !node.frozen) {
+            const std::uint64_t version = *rc::gen::inRange<std::uint64_t>(1, 9);
+            fleet.carryOut(node, node.core.endpointLeaving(fleet.now, EndpointId("engine-" + std::to_string(version % 3)), version));
+            fleet.carryOut(node, node.core.setPresetVersion(fleet.now, version));
+        }
+        return;
+    }
+}
+
+void endFaults(Fleet &fleet)
+{
+    fleet.loss = 0;
+    fleet.cut = [](std::size_t, std::size_t) { return false; };
+    for (const std::unique_ptr<Node> &node : fleet.nodes) {
+        if (node->running && node->frozen) {
+            fleet.wake(*node);
+        }
+    }
+    fleet.listAll();
+}
+
+bool agreed(const Fleet &fleet)
+{
+    for (const std::unique_ptr<Node> &viewer : fleet.nodes) {
+        for (const std::unique_ptr<Node> &seen : fleet.nodes) {
+            if (!viewer->running || !seen->running || viewer == seen) {
+                continue;
+            }
+            const std::vector<Member> members = viewer->core.members();
+            if (std::find(members.begin(), members.end(), seen->core.self()) == members.end()) {
+                return false;
+            }
+        }
+        if (viewer->running && viewer->core.endpointFacts() != fleet.nodes.back()->core.endpointFacts()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+// Callers see duties flap or vanish for good if views do not come together again: hosts are frozen and woken,
+// cut off one way or with their whole domain, replaced under old or new names, datagrams are lost, hosts and
+// endpoints leave, in any order. Once it stops, every host must hold the same, true view.
+TEST_CASE("views converge to the truth after any faults, and leaving never reverts", "[endpoint-drain][graceful-shutdown]")
+{
+    rc::prop("every live host sees every live host as that host tells itself", [] {
+        const std::size_t hosts = *rc::gen::inRange<std::size_t>(2, 10);
+        Fleet fleet(hosts, *rc::gen::arbitrary<std::uint64_t>());
+        LeavingWatch watch;
+        const int faults = *rc::gen::inRange(1, 15);
+        for (int i = 0; i < faults; ++i) {
+            randomFault(fleet, hosts);
+            fleet.run(std::chrono::milliseconds(*rc::gen::inRange(10, 12'000)));
+            watch.check(fleet);
+        }
+        endFaults(fleet);
+        RC_ASSERT(fleet.runUntil([&] { return agreed(fleet); }, settleTime) < settleTime);
+        fleet.run(10s);
+        watch.check(fleet);
+        RC_ASSERT(agreed(fleet));
+        for (const std::unique_ptr<Node> &node : fleet.nodes) {
+            const std::vector<Member> members = node->core.members();
+            RC_ASSERT((!node->running || std::none_of(members.begin(), members.end(), [&](const Member &member) {
+                const std::vector<HostId> live = fleet.running();
+                return member.state != MemberState::Dead && !std::binary_search(live.begin(), live.end(), member.host);
+            })));
+        }
+    });
+}
+
+TEST_CASE("a dead host is dead everywhere within the stated bound, and nobody else is")
+{
+    rc::prop("detectionBound and the spread of the news", [] {
+        const std::size_t hosts = *rc::gen::inRange<std::size_t>(2, 24);
+        Fleet fleet(hosts, *rc::gen::arbitrary<std::uint64_t>());
+        converge(fleet);
+        fleet.run(std::chrono::milliseconds(*rc::gen::inRange(0, 3000)));
+        Node &victim = *fleet.nodes[*rc::gen::inRange<std::size_t>(0, hosts)];
+        victim.running = false;
+        const Duration bound = victim.core.detectionBound(hosts) + 3s;
+        RC_ASSERT(fleet.runUntil([&] { return fleet.everyViewIs(fleet.running()); }, bound) < bound);
+        for (const std::unique_ptr<Node> &node : fleet.nodes) {
+            for (const Member &change : node->changes) {
+                RC_ASSERT((change.state != MemberState::Dead || change.host == victim.self.host));
+            }
+        }
+    });
+}
+
+TEST_CASE("ten datagrams lost of a hundred kill nobody")
+{
+    Fleet fleet(12, 1);
+    fleet.loss = 0.1;
+    converge(fleet);
+    fleet.run(5min);
+    for (const std::unique_ptr<Node> &node : fleet.nodes) {
+        CHECK(std::none_of(node->changes.begin(), node->changes.end(), [](const Member &change) { return change.state == MemberState::Dead; }));
+    }
+}
+
+// Callers of every host would see duties move: a host whose incoming packets are lost still sends, finds all its
+// peers silent, and tells everybody that everybody is dead. It can't tell their silence from its own deafness, so
+// it says nothing until its peers have found it dead and no longer listen to its accusations.
+TEST_CASE("a host that hears nobody kills nobody but itself")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        Fleet fleet(9, seed);
+        converge(fleet);
+        fleet.cut = [](std::size_t, std::size_t to) { return to == 0; };
+        fleet.run(60s);
+        for (std::size_t i = 1; i < fleet.nodes.size(); ++i) {
+            CHECK(everDead(*fleet.nodes[i], HostId("host-0")));
+            for (std::size_t other = 1; other < fleet.nodes.size(); ++other) {
+                CHECK(!everDead(*fleet.nodes[i], HostId("host-" + std::to_string(other))));
+            }
+        }
+        fleet.cut = [](std::size_t, std::size_t) { return false; };
+        converge(fleet);
+    }
+}
+
+// The woken host's callers would see its duties jump: while it was frozen every deadline ran out, so on waking it
+// would hold all peers dead at once and serve every duty itself. It has to let its peers answer first. They hold
+// it dead by then; it learns so from them and refutes.
+TEST_CASE("a host frozen and woken refutes its own death and accuses nobody")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        Fleet fleet(9, seed);
+        converge(fleet);
+        Node &frozen = *fleet.nodes[4];
+        fleet.nodes[5]->running = false; // Suspected by the frozen host, perhaps; truly dead when it wakes.
+        fleet.run(1500ms);
+        frozen.frozen = true;
+        fleet.run(40s);
+        fleet.wake(frozen);
+        const Duration bound = 10s;
+        CHECK(fleet.runUntil([&] { return fleet.everyViewIs(fleet.running()); }, bound) < bound);
+        CHECK(frozen.core.self().incarnation.refutations > 0);
+        for (std::size_t other = 0; other < 9; ++other) {
+            CHECK((other == 4 || other == 5 || !everDead(frozen, HostId("host-" + std::to_string(other)))));
+        }
+    }
+}
+
+// Callers at two halves of a healed network would be served as if there were two fleets: each half holds the other
+// dead and probes only the living, so no datagram would ever cross again.
+TEST_CASE("two halves of a healed partition find each other")
+{
+    Fleet fleet(9, 3);
+    converge(fleet);
+    fleet.cut = [](std::size_t from, std::size_t to) { return (from % 3 == 0) != (to % 3 == 0); };
+    fleet.run(60s);
+    REQUIRE(fleet.nodes[0]->core.aliveHosts().size() == 3);
+    REQUIRE(fleet.nodes[1]->core.aliveHosts().size() == 6);
+    fleet.list.clear();
+    fleet.cut = [](std::size_t, std::size_t) { return false; };
+    converge(fleet);
+}
+
+TEST_CASE("half the hosts replaced at once at their addresses are known within the bound")
+{
+    const bool sameName = GENERATE(true, false);
+    Fleet fleet(12, 5);
+    converge(fleet);
+    for (std::size_t place = 0; place < 6; ++place) {
+        replace(fleet, place, sameName);
+    }
+    const Duration bound = fleet.nodes[0]->core.detectionBound(12) + 6s;
+    CHECK(fleet.runUntil([&] { return fleet.everyViewIs(fleet.running()); }, bound) < bound);
+}
+
+// Two processes under one name would refute each other for ever: one was frozen, was replaced under its name, and
+// woke. The greater start wins; the older process is told to stop. A young process that meets a greater start has
+// merely a slow clock, and takes a greater one.
+TEST_CASE("of two processes under one name the one that started later stays")
+{
+    Fleet fleet(5, 7);
+    converge(fleet);
+    fleet.run(40s);
+    Node &old = *fleet.nodes[2];
+    old.frozen = true;
+    Node &fresh = fleet.add(2, old.self.host.text());
+    fleet.run(20s);
+    fleet.wake(old);
+    fleet.run(20s);
+    CHECK(old.core.superseded());
+    CHECK(!fresh.core.superseded());
+    old.running = false;
+
+    fresh.running = false;
+    fleet.run(20s);
+    Node slow{Membership(MembershipSettings(), 1), fresh.self, 2, true, false, fleet.now, {}, 0, 0, {}};
+    slow.self.incarnation.start = 1;
+    fleet.nodes.push_back(std::make_unique<Node>(std::move(slow)));
+    Node &late = *fleet.nodes.back();
+    fleet.carryOut(late, late.core.start(fleet.now, late.self, fleet.list));
+    fleet.run(20s);
+    CHECK(!late.core.superseded());
+    CHECK(fleet.everyViewIs(fleet.running()));
+}
+
+TEST_CASE("replayed datagrams change nothing")
+{
+    Fleet fleet(6, 9);
+    std::vector<std::vector<std::byte>> recorded;
+    fleet.recorded = &recorded;
+    converge(fleet);
+    fleet.nodes[1]->frozen = true;
+    fleet.run(20s);
+    fleet.wake(*fleet.nodes[1]);
+    fleet.carryOut(*fleet.nodes[2], fleet.nodes[2]->core.leave(fleet.now));
+    fleet.run(10s);
+    fleet.recorded = nullptr;
+    REQUIRE(agreed(fleet));
+    for (const std::vector<std::byte> &datagram : recorded) {
+        for (const std::unique_ptr<Node> &node : fleet.nodes) {
+            const MembershipActions actions = node->core.datagram(fleet.now, decodeDatagram(datagram, FakeFleet::secret).value());
+            CHECK(std::none_of(actions.begin(), actions.end(), [](const MembershipAction &action) {
+                return std::holds_alternative<MemberChanged>(action) || std::holds_alternative<EndpointFactChanged>(action);
+            }));
+        }
+    }
+}
+
+// A caller's request would be sent to an endpoint that is going away: one host has seen it leave, the others still
+// grant permits for it. The fact must reach all within two seconds, and only a greater version may undo it.
+TEST_CASE("an endpoint known as leaving by one host is known so by all", "[endpoint-drain]")
+{
+    const EndpointId endpoint("engine-7");
+    Fleet fleet(9, 11);
+    fleet.loss = 0.1;
+    converge(fleet);
+    const auto allHold = [&](bool leaving) {
+        return [&fleet, &endpoint, leaving] {
+            return std::all_of(
+                fleet.nodes.begin(), fleet.nodes.end(), [&](const std::unique_ptr<Node> &node) { return node->core.endpointIsLeaving(endpoint) == leaving; });
+        };
+    };
+    fleet.carryOut(*fleet.nodes[3], fleet.nodes[3]->core.endpointLeaving(fleet.now, endpoint, 100));
+    CHECK(fleet.runUntil(allHold(true), 2s) < 2s);
+    fleet.carryOut(*fleet.nodes[4], fleet.nodes[4]->core.endpointReturned(fleet.now, endpoint, 100));
+    fleet.run(5s);
+    CHECK(allHold(true)());
+    fleet.carryOut(*fleet.nodes[5], fleet.nodes[5]->core.endpointReturned(fleet.now, endpoint, 101));
+    CHECK(fleet.runUntil(allHold(false), 2s) < 2s);
+}
+
+TEST_CASE("a host that leaves gives its duties up at once and the last of a fleet keeps them", "[graceful-shutdown]")
+{
+    Fleet fleet(3, 13);
+    converge(fleet);
+    for (std::size_t i = 0; i < 3; ++i) {
+        Node &node = *fleet.nodes[i];
+        fleet.carryOut(node, node.core.leave(fleet.now));
+        std::vector<HostId> expected = fleet.running();
+        if (i < 2) {
+            std::erase_if(expected, [&](const HostId &host) { return host <= node.self.host; });
+        }
+        CHECK(node.core.aliveHosts() == expected);
+        CHECK(fleet.runUntil([&] { return fleet.everyViewIs(expected); }, 2s) < 2s);
+    }
+    fleet.carryOut(*fleet.nodes[0], fleet.nodes[0]->core.farewell(fleet.now));
+    fleet.nodes[0]->running = false;
+    CHECK(fleet.runUntil([&] { return fleet.everyViewIs(fleet.running()); }, 1s) < 1s);
+}
+
+TEST_CASE("a death moves the dead host's duties and no others")
+{
+    constexpr std::size_t duties = 1000;
+    Fleet fleet(9, 15);
+    converge(fleet);
+    const std::vector<HostId> before = fleet.nodes[0]->core.aliveHosts();
+    fleet.nodes[6]->running = false;
+    fleet.run(fleet.nodes[0]->core.detectionBound(9) + 3s);
+    const std::vector<HostId> after = fleet.nodes[0]->core.aliveHosts();
+    std::size_t owned = 0;
+    std::size_t moved = 0;
+    for (std::size_t duty = 0; duty < duties; ++duty) {
+        const std::string key = "duty-" + std::to_string(duty);
+        owned += rendezvousOwner(before, key) == HostId("host-6") ? 1 : 0;
+        moved += rendezvousOwner(before, key) != rendezvousOwner(after, key) ? 1 : 0;
+    }
+    CHECK(owned > 0);
+    CHECK(moved == owned);
+}
+
+TEST_CASE("a newer preset version reaches every host and a host's version never falls", "[config-monotonic]")
+{
+    Fleet fleet(9, 17);
+    converge(fleet);
+    std::map<HostId, std::uint64_t> seen;
+    Node &source = *fleet.nodes[0];
+    fleet.carryOut(source, source.core.setPresetVersion(fleet.now, 7));
+    fleet.carryOut(source, source.core.setPresetVersion(fleet.now, 3));
+    const auto allHaveSeen = [&] {
+        return std::all_of(fleet.nodes.begin() + 1, fleet.nodes.end(), [&](const std::unique_ptr<Node> &node) {
+            const std::vector<Member> members = node->core.members();
+            return std::any_of(members.begin(), members.end(), [](const Member &member) { return member.presetVersion == 7; });
+        });
+    };
+    CHECK(fleet.runUntil(allHaveSeen, 2s) < 2s);
+    CHECK(source.core.self().presetVersion == 7);
+}
+
+TEST_CASE("tellings about a host combine to the same in any order")
+{
+    rc::prop("commutative, associative, idempotent", [] {
+        const auto arbitraryTelling = [] {
+            Member member;
+            member.host = HostId("host");
+            member.incarnation = {*rc::gen::inRange<std::uint64_t>(0, 3), *rc::gen::inRange<std::uint32_t>(0, 3)};
+            member.state = MemberState(*rc::gen::inRange(0, 3));
+            member.leaving = *rc::gen::arbitrary<bool>();
+            member.presetVersion = *rc::gen::inRange<std::uint64_t>(0, 3);
+            return member;
+        };
+        const Member a = arbitraryTelling();
+        const Member b = arbitraryTelling();
+        const Member c = arbitraryTelling();
+        RC_ASSERT(joined(a, a) == a);
+        const bool sameStart = a.incarnation.start == b.incarnation.start;
+        RC_ASSERT((!sameStart || joined(a, b) == joined(b, a)));
+        RC_ASSERT((sameStart || joined(a, b) == joined(b, a)));
+        RC_ASSERT(joined(joined(a, b), c) == joined(a, joined(b, c)));
+    });
+}
--- a/src/wire/framedecoder.cpp
+++ b/src/wire/framedecoder.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::size_t lengthBytes = 4;
 // Above this an empty buffer gives its memory back: one large preset must not pin megabytes on every link.
-constexpr std::size_t retainedCapacity = 64 * 1024;
+constexpr std::size_t retainedCapacity = std::size_t(64) * 1024;
 
 std::uint32_t readLength(const std::byte *header)
 {
--- a/src/wire/peerhandshake_test.cpp
+++ b/src/wire/peerhandshake_test.cpp
@@ -1,5 +1,7 @@
 #include "wire/peerhandshake.h"
 
+#include <optional>
+
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
--- a/src/wire/peernetwork.h
+++ b/src/wire/peernetwork.h
@@ -47,7 +47,7 @@
 {
 
 /** Largest payload of one frame: the platform's 1 MB a value and some room for framing. */
-inline constexpr std::size_t maxPayloadBytes = 2 * 1024 * 1024;
+inline constexpr std::size_t maxPayloadBytes = std::size_t(2) * 1024 * 1024;
 
 struct PeerAddress
 {
@@ -84,7 +84,7 @@
     Duration heartbeatInterval = 500ms;
     Duration silenceLimit = 2s;
     Duration idleLimit = 60s;
-    std::size_t queueBytes = 4 * 1024 * 1024;
+    std::size_t queueBytes = std::size_t(4) * 1024 * 1024;
 };
 
 /** What slices need of the peer network; a test's fake meets it with a few lines. */
