--- a/src/load/tally.cpp
+++ b/src/load/tally.cpp
@@ -81,6 +81,7 @@
         tally.deliveredTokens += result.tokens;
         tally.firstTokens.push_back(result.firstToken);
     }
+    tally.leftTokens += result.outcome == CallerOutcome::Left ? result.tokens : 0;
     tally.generatedTokens += ran.generated;
     tally.runs += ran.runs;
     if (!rule.idempotent && ran.runs > 1) {
@@ -115,6 +116,7 @@
         total.firstTokens.insert(total.firstTokens.end(), tally.firstTokens.begin(), tally.firstTokens.end());
         total.goodTokens += tally.goodTokens;
         total.deliveredTokens += tally.deliveredTokens;
+        total.leftTokens += tally.leftTokens;
         total.generatedTokens += tally.generatedTokens;
         total.runs += tally.runs;
         total.duplicates += tally.duplicates;
--- a/src/load/tally.h
+++ b/src/load/tally.h
@@ -68,6 +68,7 @@
     std::vector<Duration> firstTokens; ///< sorted by finish()
     std::uint64_t goodTokens = 0; ///< of answers within their targets
     std::uint64_t deliveredTokens = 0; ///< of whole answers
+    std::uint64_t leftTokens = 0; ///< received by callers before they went away
     std::uint64_t generatedTokens = 0;
     std::uint64_t runs = 0;
     std::uint64_t duplicates = 0; ///< non-idempotent requests that ran more than once
@@ -81,9 +82,11 @@
     {
         return sent == 0 ? 1.0 : static_cast<double>(attained) / static_cast<double>(sent);
     }
+    /** Generated, but not received by a caller that was there, or part of an answer that was never whole. */
     std::uint64_t wastedTokens() const
     {
-        return generatedTokens > deliveredTokens ? generatedTokens - deliveredTokens : 0;
+        const std::uint64_t received = deliveredTokens + leftTokens;
+        return generatedTokens > received ? generatedTokens - received : 0;
     }
     /** Of firstTokens; zero when there are none. */
     Duration firstTokenQuantile(double quantile) const;
