--- a/src/membership/fakefleet_test.h
+++ b/src/membership/fakefleet_test.h
@@ -161,7 +161,7 @@
 
     TimePoint now = TimePoint(1h);
     std::vector<std::unique_ptr<Node>> nodes;
-    std::vector<ListedHost> list;
+    std::vector<SeedHost> list;
     double loss = 0;
     Duration maxDelay = 20ms;
     /** True when nothing passes from the first place to the second. */
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -88,7 +88,7 @@
 
 // Events.
 
-MembershipActions Membership::start(TimePoint now, Member self, std::span<const ListedHost> seeds)
+MembershipActions Membership::start(TimePoint now, Member self, std::span<const SeedHost> seeds)
 {
     m_self = std::move(self);
     m_self.state = MemberState::Alive;
@@ -102,13 +102,13 @@
     return hostList(now, seeds);
 }
 
-MembershipActions Membership::hostList(TimePoint now, std::span<const ListedHost> list)
+MembershipActions Membership::hostList(TimePoint now, std::span<const SeedHost> list)
 {
     m_listed.clear();
     for (auto &[host, known] : m_members) {
         known.listedLeaving = false;
     }
-    for (const ListedHost &listed : list.first(std::min(list.size(), maxMembers))) {
+    for (const SeedHost &listed : list.first(std::min(list.size(), maxMembers))) {
         if (listed.host == m_self.host) {
             continue;
         }
@@ -664,7 +664,7 @@
     }
 }
 
-std::vector<ListedHost> Membership::unreachedHosts() const
+std::vector<SeedHost> Membership::unreachedHosts() const
 {
     std::set<PeerAddress, bool (*)(const PeerAddress &, const PeerAddress &)> taken(
         [](const PeerAddress &left, const PeerAddress &right) { return std::tie(left.ip, left.port) < std::tie(right.ip, right.port); });
@@ -673,7 +673,7 @@
             taken.insert(known.member.address);
         }
     }
-    std::vector<ListedHost> unreached;
+    std::vector<SeedHost> unreached;
     for (const auto &[host, known] : m_members) {
         const bool mayReturn = known.member.state == MemberState::Dead && !known.member.leaving;
         if (mayReturn && !taken.contains(known.member.address)) {
@@ -691,11 +691,11 @@
 void Membership::rejoin(TimePoint now)
 {
     m_nextRejoin = now + m_settings.rejoinInterval;
-    std::vector<ListedHost> unreached = unreachedHosts();
+    std::vector<SeedHost> unreached = unreachedHosts();
     std::shuffle(unreached.begin(), unreached.end(), m_random.engine());
     const bool alone = liveCount() == 1;
     unreached.resize(std::min(unreached.size(), alone ? joinFanout : std::size_t(1)));
-    for (const ListedHost &host : unreached) {
+    for (const SeedHost &host : unreached) {
         MembershipMessage ping = message(MembershipMessageKind::Ping);
         ping.target = host.host;
         send(host.address, host.host, std::move(ping));
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -91,8 +91,8 @@
     Membership(MembershipSettings settings, std::uint64_t seed);
 
     /** @param self with the start of this process as its incarnation  @param seeds the host list, as far as known */
-    MembershipActions start(TimePoint now, Member self, std::span<const ListedHost> seeds);
-    MembershipActions hostList(TimePoint now, std::span<const ListedHost> list);
+    MembershipActions start(TimePoint now, Member self, std::span<const SeedHost> seeds);
+    MembershipActions hostList(TimePoint now, std::span<const SeedHost> list);
     MembershipActions datagram(TimePoint now, const MembershipMessage &message);
     MembershipActions tick(TimePoint now);
     /** This host takes no new duties from now on; it goes on taking part. */
@@ -191,7 +191,7 @@
     void gossip(TimePoint now);
     void rejoin(TimePoint now);
     void sync(TimePoint now);
-    std::vector<ListedHost> unreachedHosts() const;
+    std::vector<SeedHost> unreachedHosts() const;
     void send(const PeerAddress &to, const HostId &host, MembershipMessage message);
     void addNews(const HostId &recipient, MembershipMessage &message);
     std::size_t transmissionLimit() const;
@@ -204,7 +204,7 @@
     Random m_random;
     Member m_self;
     std::map<HostId, Known> m_members;
-    std::map<HostId, ListedHost> m_listed;
+    std::map<HostId, SeedHost> m_listed;
     std::map<EndpointId, EndpointFact> m_endpoints;
     std::map<HostId, std::size_t> m_memberNews; ///< tellings to pass on, with how often each was sent
     std::map<EndpointId, std::size_t> m_endpointNews;
