--- a/src/daemon/adminfront.cpp
+++ b/src/daemon/adminfront.cpp
@@ -54,7 +54,8 @@
     return answer;
 }
 
-struct LevelOrder {
+struct LevelOrder
+{
     LogPart part;
     LogLevel level;
 };
--- a/src/daemon/adminfront.h
+++ b/src/daemon/adminfront.h
@@ -24,7 +24,8 @@
 {
 
 /** An answer of the admin front. */
-struct AdminAnswer {
+struct AdminAnswer
+{
     unsigned status = 200;
     boost::json::value body;
 };
@@ -35,7 +36,8 @@
 using AdminReply = std::function<void(AdminAnswer)>;
 
 /** What the host does for the admin front. Each reply is called exactly once. */
-struct AdminPorts {
+struct AdminPorts
+{
     std::function<bool()> ready;
     std::function<std::string()> metrics;
     std::function<boost::json::value()> status;
--- a/src/daemon/endpointdirectory.cpp
+++ b/src/daemon/endpointdirectory.cpp
@@ -88,6 +88,17 @@
     return news;
 }
 
+bool EndpointDirectory::returned(const EndpointId &endpoint)
+{
+    const auto found = m_entries.find(endpoint);
+    if (found == m_entries.end() || !found->second.reportedLeaving) {
+        return false;
+    }
+    found->second.reportedLeaving.reset();
+    found->second.listAgreed = false;
+    return true;
+}
+
 bool EndpointDirectory::tick(TimePoint now)
 {
     bool changed = false;
--- a/src/daemon/endpointdirectory.h
+++ b/src/daemon/endpointdirectory.h
@@ -43,6 +43,8 @@
     bool hostList(TimePoint now, std::span<const ListedHost> listed);
     /** An endpoint is known to leave, by its own answer, a peer or an operator. @return true if that is news */
     bool leaving(TimePoint now, const EndpointId &endpoint);
+    /** An operator took the order back, or a peer told so. @return true if that is news */
+    bool returned(const EndpointId &endpoint);
     /** Forgets reports of leaving that the list never confirmed. @return true if any endpoint changed */
     bool tick(TimePoint now);
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -71,8 +71,10 @@
 {
     readAddress(reader, "address", target.address);
     reader.milliseconds("timeout_ms", target.timeout, 10ms, 60s);
-    reader.number("calls_per_second", target.callsPerSecond, 0.1, 2000);
-    reader.number("call_burst", target.callBurst, 1, 10'000);
+    reader.number("reads_per_second", target.readsPerSecond, 0.1, 2000);
+    reader.number("read_burst", target.readBurst, 1, 10'000);
+    reader.number("writes_per_second", target.writesPerSecond, 0.1, 2000);
+    reader.number("write_burst", target.writeBurst, 1, 10'000);
     reader.milliseconds("host_list_interval_ms", target.hostListInterval, 100ms, 60s);
     reader.milliseconds("load_report_interval_ms", target.loadReportInterval, 100ms, 60s);
 }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -45,8 +45,10 @@
 {
     SocketAddress address;
     Duration timeout = 2s;
-    double callsPerSecond = 50; ///< this host's part of the platform's rate
-    double callBurst = 100;
+    double readsPerSecond = 100; ///< this host's part of the platform's reads, waiting watches included
+    double readBurst = 100;
+    double writesPerSecond = 30; ///< this host's part of the platform's writes
+    double writeBurst = 60;
     Duration hostListInterval = 2s;
     Duration loadReportInterval = 1s;
 };
@@ -80,7 +82,7 @@
 struct LedgerSettings
 {
     std::uint32_t shards = 4;
-    Duration retention = 24h; ///< a repeat within this time is recognised
+    Duration retention = 1h; ///< a repeat within this time is recognised
 };
 
 struct Settings
