--- a/src/load/load_test.cpp
+++ b/src/load/load_test.cpp
@@ -39,7 +39,7 @@
     draft.idempotent = false;
     draft.ratePerSecond = 5;
     mix.classes = {query, draft};
-    mix.bursts = {{"burst", 10s, 10s, 4, {"query"}, "small"}};
+    mix.bursts = {{"burst", 10s, 10s, 0s, 4, {"query"}, "small"}};
     return mix;
 }
 
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <iomanip>
 
 namespace Rhubarbwind
 {
@@ -71,6 +72,57 @@
     out << "\n";
 }
 
+constexpr int comparedWidth = 14;
+constexpr int comparedNameWidth = 22;
+
+struct ComparedFigure
+{
+    const char *title;
+    int digits;
+    double (*value)(const boost::json::object &line);
+};
+
+double numberAt(const boost::json::object &line, std::string_view name)
+{
+    const boost::json::value *value = line.if_contains(name);
+    return value != nullptr && value->is_number() ? value->to_number<double>() : 0;
+}
+
+double outcomeAt(const boost::json::object &line, std::string_view name)
+{
+    const boost::json::value *outcomes = line.if_contains("outcomes");
+    return outcomes != nullptr && outcomes->is_object() ? numberAt(outcomes->get_object(), name) : 0;
+}
+
+double wastedPercent(const boost::json::object &line)
+{
+    const double generated = numberAt(line, "generated_tokens");
+    return generated > 0 ? 100 * numberAt(line, "wasted_tokens") / generated : 0;
+}
+
+constexpr std::array<ComparedFigure, 6> comparedFigures{{
+    {"attainment", 3, [](const boost::json::object &line) { return numberAt(line, "attainment"); }},
+    {"goodput, tokens/s within targets", 1, [](const boost::json::object &line) { return numberAt(line, "goodput_per_s"); }},
+    {"wasted tokens, %", 2, wastedPercent},
+    {"not-run", 0, [](const boost::json::object &line) { return outcomeAt(line, "not-run"); }},
+    {"first token p99, ms", 0, [](const boost::json::object &line) { return numberAt(line, "first_token_p99_ms"); }},
+    {"first token max, ms", 0, [](const boost::json::object &line) { return numberAt(line, "first_token_max_ms"); }},
+}};
+
+std::string fixedText(double value, int digits)
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.*f", digits, value);
+    return text.data();
+}
+
+void addOnce(std::vector<std::string> &names, const std::string &name)
+{
+    if (std::find(names.begin(), names.end(), name) == names.end()) {
+        names.push_back(name);
+    }
+}
+
 } // namespace
 
 void printTable(std::ostream &out, const std::string &label, const Tally &tally, const LoadRunReport &run, const std::vector<BrokenPromise> &broken)
@@ -132,4 +184,38 @@
     }
 }
 
+void printComparison(std::ostream &out, std::istream &lines)
+{
+    std::vector<std::string> labels;
+    std::vector<std::string> classes;
+    std::map<std::pair<std::string, std::string>, boost::json::object> runs;
+    for (std::string line; std::getline(lines, line);) {
+        boost::json::error_code error;
+        const boost::json::value value = boost::json::parse(line, error);
+        if (error || !value.is_object() || !value.get_object().contains("label") || !value.get_object().contains("class")) {
+            continue;
+        }
+        const std::string label(value.at("label").as_string());
+        const std::string name(value.at("class").as_string());
+        addOnce(labels, label);
+        addOnce(classes, name);
+        runs[{name, label}] = value.get_object();
+    }
+    for (const ComparedFigure &figure : comparedFigures) {
+        out << "-- " << figure.title << "\n" << std::string(comparedNameWidth, ' ');
+        for (const std::string &label : labels) {
+            out << std::setw(comparedWidth) << label.substr(0, comparedWidth - 1);
+        }
+        out << "\n";
+        for (const std::string &name : classes) {
+            out << std::left << std::setw(comparedNameWidth) << name << std::right;
+            for (const std::string &label : labels) {
+                const auto found = runs.find({name, label});
+                out << std::setw(comparedWidth) << (found == runs.end() ? "-" : fixedText(figure.value(found->second), figure.digits));
+            }
+            out << "\n";
+        }
+    }
+}
+
 } // namespace Rhubarbwind
--- a/src/load/report.h
+++ b/src/load/report.h
@@ -5,6 +5,7 @@
 #include "load/loadrun.h"
 #include "load/tally.h"
 
+#include <istream>
 #include <ostream>
 #include <string>
 #include <vector>
@@ -16,5 +17,7 @@
 void printTable(std::ostream &out, const std::string &label, const Tally &tally, const LoadRunReport &run, const std::vector<BrokenPromise> &broken);
 /** The same figures as one JSON object a line. */
 void printJsonLines(std::ostream &out, const std::string &label, const Tally &tally, const LoadRunReport &run);
+/** Reads JSON lines of several runs and sets them side by side, class by class; lines that are none are skipped. */
+void printComparison(std::ostream &out, std::istream &lines);
 
 } // namespace Rhubarbwind
--- a/src/load/rhubarbwindload_main.cpp
+++ b/src/load/rhubarbwindload_main.cpp
@@ -8,6 +8,7 @@
 
 #include <cxxopts.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -26,6 +27,8 @@
 {
     cxxopts::Options options("rhubarbwind-load", "Sends a mix of requests to hosts on 127.0.0.0/8 and checks every answer");
     options.add_options()("mix", "mix file (JSON with comments)", cxxopts::value<std::string>());
+    options.add_options()("class", "send only these classes of the mix", cxxopts::value<std::vector<std::string>>());
+    options.add_options()("compare", "send nothing: set the runs of a JSON lines file side by side", cxxopts::value<std::string>());
     options.add_options()("host", "IP:PORT for callers, or IP:PORT/IP:PORT with the admin address to probe", cxxopts::value<std::vector<std::string>>());
     options.add_options()("endpoint", "IP:PORT of a stand-in to ask for counters", cxxopts::value<std::vector<std::string>>());
     options.add_options()("counters-file", "counters of a stand-in that ended by a fault", cxxopts::value<std::vector<std::string>>());
@@ -99,8 +102,25 @@
     return parsed.count("check") > 0 && !broken.empty() ? exitBroken : EXIT_SUCCESS;
 }
 
+/** Classes that are not asked for keep their place, since bursts name them, but send nothing. */
+bool keepClasses(const std::vector<std::string> &wanted, Mix &mix)
+{
+    std::size_t kept = 0;
+    for (MixClass &rule : mix.classes) {
+        const bool keep = wanted.empty() || std::find(wanted.begin(), wanted.end(), rule.name) != wanted.end();
+        kept += keep ? 1 : 0;
+        rule.ratePerSecond = keep ? rule.ratePerSecond : 0;
+    }
+    return wanted.empty() || kept == wanted.size();
+}
+
 int run(const cxxopts::ParseResult &parsed)
 {
+    if (parsed.count("compare") > 0) {
+        std::ifstream lines(parsed["compare"].as<std::string>());
+        printComparison(std::cout, lines);
+        return EXIT_SUCCESS;
+    }
     LoadRunOptions options;
     if (parsed.count("mix") == 0 || !readAddresses(parsed, options)) {
         std::cerr << "rhubarbwind-load: --mix and at least one --host are needed; addresses are IP:PORT on 127.0.0.0/8\n";
@@ -108,11 +128,15 @@
     }
     std::ifstream file(parsed["mix"].as<std::string>());
     const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
-    const Result<Mix, DocumentFaults> mix = parseMix(text);
+    Result<Mix, DocumentFaults> mix = parseMix(text);
     if (!mix) {
         std::cerr << "rhubarbwind-load: " << parsed["mix"].as<std::string>() << ":\n" << describeFaults(mix.error());
         return exitUsage;
     }
+    if (!keepClasses(listOf(parsed, "class"), mix.value())) {
+        std::cerr << "rhubarbwind-load: --class names a class that the mix does not have\n";
+        return exitUsage;
+    }
     return runLoad(parsed, mix.value(), std::move(options));
 }
 
