--- a/src/membership/membershipservice.cpp
+++ b/src/membership/membershipservice.cpp
@@ -55,7 +55,7 @@
     {
     }
 
-    Result<void, StartError> start(Member self, std::span<const ListedHost> seeds);
+    Result<void, StartError> start(Member self, std::span<const SeedHost> seeds);
     void stop(bool sayFarewell);
     void carryOut(const MembershipActions &actions);
 
@@ -91,7 +91,7 @@
 };
 
 template <Clock ClockType>
-Result<void, StartError> MembershipService<ClockType>::Core::start(Member self, std::span<const ListedHost> seeds)
+Result<void, StartError> MembershipService<ClockType>::Core::start(Member self, std::span<const SeedHost> seeds)
 {
     boost::system::error_code error;
     const boost::asio::ip::address ip = boost::asio::ip::make_address(self.address.ip, error);
@@ -271,7 +271,7 @@
 }
 
 template <Clock ClockType>
-Result<void, StartError> MembershipService<ClockType>::start(Member self, std::span<const ListedHost> seeds)
+Result<void, StartError> MembershipService<ClockType>::start(Member self, std::span<const SeedHost> seeds)
 {
     return m_core->start(std::move(self), seeds);
 }
@@ -283,7 +283,7 @@
 }
 
 template <Clock ClockType>
-void MembershipService<ClockType>::hostList(std::span<const ListedHost> list)
+void MembershipService<ClockType>::hostList(std::span<const SeedHost> list)
 {
     m_core->carryOut(m_core->membership().hostList(ClockType::now(), list));
 }
