--- a/src/routing/endpointpool_test.cpp
+++ b/src/routing/endpointpool_test.cpp
@@ -86,11 +86,15 @@
     return {};
 }
 
-/** Chooses until there is no place; returns how many went to each endpoint. */
+/** Chooses until there is no place, or far too often; returns how many went to each endpoint. */
 std::map<EndpointId, int> fill(EndpointPool &pool, TimePoint now, const EndpointQuery &query)
 {
     std::map<EndpointId, int> counts;
-    for (Reservation reservation = take(pool, now, query); !reservation.endpoint.empty(); reservation = take(pool, now, query)) {
+    for (int i = 0; i < 1000; ++i) {
+        const Reservation reservation = take(pool, now, query);
+        if (reservation.endpoint.empty()) {
+            break;
+        }
         ++counts[reservation.endpoint];
     }
     return counts;
@@ -411,6 +415,51 @@
     }
 }
 
+// Callers of a straggler that still meets its token target wait longer than they need to, since the adaptive
+// limit sees nothing wrong. First one endpoint runs at half the pool's pace, then demand fills the pool. Its
+// share must shrink with its speed.
+TEST_CASE("a straggler within its target takes a share of its slots")
+{
+    TimePoint now = start;
+    EndpointPool pool({}, now);
+    pool.update(now, engines(6));
+    for (int i = 0; i < 8; ++i) {
+        for (std::size_t e = 0; e < 6; ++e) {
+            pool.reserve(now, {idOf(e), 200, 100}, {});
+            pool.free(now + 3s, {idOf(e), 200, 100}, sampleOf(e == 0 ? 30ms : 15ms));
+        }
+        now += 4s;
+    }
+    std::map<EndpointId, int> counts = fill(pool, now, queryOf());
+    REQUIRE(counts[idOf(0)] <= 5);
+    REQUIRE(counts[idOf(0)] >= 1);
+    REQUIRE(counts[idOf(1)] >= 8);
+}
+
+// A healthy endpoint loses its work because it has more of it. First affinity fills one endpoint, then its
+// larger batch makes each token slower, as on any engine. Without the batch in the comparison it would be
+// taken for a straggler.
+TEST_CASE("a busy endpoint is not taken for a straggler")
+{
+    TimePoint now = start;
+    EndpointPool pool({}, now);
+    pool.update(now, engines(4, 16));
+    for (int round = 0; round < 20; ++round) {
+        for (std::size_t e = 0; e < 4; ++e) {
+            const int batch = e == 0 ? 16 : 1 + (round + static_cast<int>(e)) % 8;
+            for (int i = 0; i < batch; ++i) {
+                pool.reserve(now, {idOf(e), 200, 100}, {});
+            }
+            for (int i = 0; i < batch; ++i) {
+                pool.free(now + 5s, {idOf(e), 200, 100}, sampleOf(15ms + 3ms * batch));
+            }
+        }
+        now += 6s;
+        REQUIRE_FALSE(statusOf(pool, now, idOf(0)).straggler);
+    }
+    REQUIRE(statusOf(pool, now, idOf(0)).speed > 0.8);
+}
+
 // Callers meet an engine with cold caches and kernels together with a full batch. First an endpoint appears or
 // comes back, then, being empty, it looks best for everything that waits. It must warm up on a part of its
 // limit first; endpoints that are there when the pool starts are not held back.
