Let the pace of running work show a straggler

Ruled out: judging by overdue work; lengths are heavy-tailed and a full batch of young streams looks overdue. Change: EndpointPool::progress() takes the inter-token time of a running stream. Conclusion: usable wherever the arbiter hears of progress.

--- a/src/routing/endpointpool.cpp
+++ b/src/routing/endpointpool.cpp
@@ -369,12 +369,27 @@
     const Duration prefill = fromSeconds(m_prefillLine.slope() * computed);
     member.limit.observe({work.meanBatch, sample.meanInterToken, sample.firstToken - prefill});
     if (sample.meanInterToken > Duration::zero()) {
-        const double length = std::min(1.0, static_cast<double>(sample.tokens) / m_options.speed.fullTokens);
-        learnSpeed(now, member, m_tokenLine, work.meanBatch, sample.meanInterToken, m_options.speed.gain * length);
+        learnSpeed(now, member, m_tokenLine, work.meanBatch, sample.meanInterToken, tokenGain(sample.tokens));
     }
     learnPrefix(now, member, sample, work);
 }
 
+double EndpointPool::tokenGain(std::uint32_t tokens) const
+{
+    const std::uint32_t full = std::max<std::uint32_t>(m_options.speed.fullTokens, 1);
+    return m_options.speed.gain * std::min(tokens, full) / full;
+}
+
+void EndpointPool::progress(TimePoint now, const EndpointId &endpoint, Duration interToken, std::uint32_t tokens)
+{
+    m_lastEvent = now;
+    Member *member = find(endpoint);
+    if (member == nullptr || member->load.inFlight() == 0 || interToken <= Duration::zero()) {
+        return;
+    }
+    learnSpeed(now, *member, m_tokenLine, member->load.inFlight(), interToken, tokenGain(tokens));
+}
+
 void EndpointPool::learnSpeed(TimePoint now, Member &member, DecayedLine &line, double batch, Duration seen, double gain)
 {
     const double use = batch / slotsOf(member.endpoint);
--- a/src/routing/endpointpool.h
+++ b/src/routing/endpointpool.h
@@ -133,6 +133,12 @@
     /** The endpoint said itself, or a peer or an operator said, that it is leaving (see leavingmark.h). Repeat while it holds. */
     void markLeaving(TimePoint now, const EndpointId &endpoint);
 
+    /**
+     * The pace of a stream that still runs, so that a straggler shows before it releases anything.
+     * @param interToken mean over the last `tokens` tokens; a stream's pace should be told about every second or two
+     */
+    void progress(TimePoint now, const EndpointId &endpoint, Duration interToken, std::uint32_t tokens);
+
     std::vector<EndpointStatus> status(TimePoint now) const;
     /** Frees of work that was not in flight; not zero hints at doubled releases. */
     std::uint64_t strayFrees() const
@@ -187,6 +193,7 @@
 
     void learn(TimePoint now, Member &member, const Reservation &reservation, const ServiceSample &sample, const FinishedWork &work);
     void learnFailure(TimePoint now, Member &member, const FinishedWork &work);
+    double tokenGain(std::uint32_t tokens) const;
     void learnSpeed(TimePoint now, Member &member, DecayedLine &line, double batch, Duration seen, double gain);
     void learnPrefix(TimePoint now, Member &member, const ServiceSample &sample, const FinishedWork &work);
     void refreshMedian(TimePoint now);
--- a/src/routing/endpointpool_test.cpp
+++ b/src/routing/endpointpool_test.cpp
@@ -66,7 +66,7 @@
     if (!choice) {
         return {};
     }
-    const Reservation reservation{choice->endpoint, query.promptTokens, query.estimatedTokens};
+    Reservation reservation{choice->endpoint, query.promptTokens, query.estimatedTokens};
     pool.reserve(now, reservation, query.prefixDigests);
     return reservation;
 }
@@ -354,6 +354,7 @@
     const std::vector<EndpointId> avoid = {idOf(0)};
     query.avoid = avoid;
     std::vector<EndpointId> order;
+    order.reserve(4);
     for (int i = 0; i < 4; ++i) {
         order.push_back(take(pool, start, query).endpoint);
     }
@@ -614,15 +615,35 @@
     REQUIRE(counts[idOf(1)] <= 2);
 }
 
+// Callers of long streams suffer for as long as their streams last, since nothing is released meanwhile. First
+// an endpoint slows down in the middle of its streams, then the pace of running work tells it.
+TEST_CASE("the pace of running work shows a straggler before anything is released")
+{
+    TimePoint now = start;
+    EndpointPool pool({}, now);
+    pool.update(now, engines(4));
+    for (std::size_t e = 0; e < 4; ++e) {
+        pool.reserve(now, {idOf(e), 200, 1000}, {});
+    }
+    for (int i = 0; i < 6; ++i) {
+        now += 2s;
+        for (std::size_t e = 0; e < 4; ++e) {
+            pool.progress(now, idOf(e), e == 0 && i > 1 ? 120ms : 40ms, 40);
+        }
+    }
+    REQUIRE(statusOf(pool, now, idOf(0)).straggler);
+    REQUIRE_FALSE(statusOf(pool, now, idOf(1)).straggler);
+}
+
 TEST_CASE("measure: choices a second with 50 endpoints", "[.measure]")
 {
     EndpointPool pool({}, start);
     pool.update(start, engines(50, 16));
     std::vector<std::uint64_t> digests(64);
-    const int rounds = 100'000;
+    const std::size_t rounds = 100'000;
     std::vector<Reservation> running;
     const std::chrono::steady_clock::time_point before = std::chrono::steady_clock::now();
-    for (int i = 0; i < rounds; ++i) {
+    for (std::size_t i = 0; i < rounds; ++i) {
         for (std::size_t block = 0; block < digests.size(); ++block) {
             digests[block] = (i % 100 + 1) * 1000 + block;
         }
@@ -636,5 +657,5 @@
         }
     }
     const double seconds = toSeconds(std::chrono::steady_clock::now() - before);
-    std::printf("50 endpoints, 64 digests, 500 in flight: %.0f choose+reserve+free a second\n", rounds / seconds);
+    std::printf("50 endpoints, 64 digests, 500 in flight: %.0f choose+reserve+free a second\n", static_cast<double>(rounds) / seconds);
 }
