--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -37,7 +37,7 @@
     std::array<char, longestLine> line{};
     std::snprintf(line.data(),
                   line.size(),
-                  "%-20s %4s %6llu %7.3f %6llu %7llu %6llu %5llu %7.0f %7.0f %7.0f %8.1f %8.1f %6.2f%% %5llu %4llu %5llu\n",
+                  "%-20s %4s %6llu %7.3f %6llu %7llu %6llu %5llu %7.0f %7.0f %7.0f %8.1f %8.1f %8.1f %6.2f%% %5llu %4llu %5llu\n",
                   tally.name.c_str(),
                   tier.c_str(),
                   static_cast<unsigned long long>(tally.sent),
@@ -49,6 +49,7 @@
                   milliseconds(tally.firstTokenQuantile(0.5)),
                   milliseconds(tally.firstTokenQuantile(0.95)),
                   milliseconds(tally.firstTokenQuantile(0.99)),
+                  perSecond(tally.askedTokens, elapsed),
                   perSecond(tally.goodTokens, elapsed),
                   perSecond(tally.deliveredTokens, elapsed),
                   100 * wastedShare(tally),
@@ -100,9 +101,10 @@
     return generated > 0 ? 100 * numberAt(line, "wasted_tokens") / generated : 0;
 }
 
-constexpr std::array<ComparedFigure, 6> comparedFigures{{
+constexpr std::array<ComparedFigure, 7> comparedFigures{{
     {"attainment", 3, [](const boost::json::object &line) { return numberAt(line, "attainment"); }},
     {"goodput, tokens/s within targets", 1, [](const boost::json::object &line) { return numberAt(line, "goodput_per_s"); }},
+    {"delivered, tokens/s in whole answers", 1, [](const boost::json::object &line) { return numberAt(line, "delivered_per_s"); }},
     {"wasted tokens, %", 2, wastedPercent},
     {"not-run", 0, [](const boost::json::object &line) { return outcomeAt(line, "not-run"); }},
     {"first token p99, ms", 0, [](const boost::json::object &line) { return numberAt(line, "first_token_p99_ms"); }},
@@ -128,7 +130,8 @@
 void printTable(std::ostream &out, const std::string &label, const Tally &tally, const LoadRunReport &run, const std::vector<BrokenPromise> &broken)
 {
     out << "== " << label << "\n"
-        << "class                tier   sent  attain  whole not-run broken  left ttft50  ttft95  ttft99  good/s   deliv/s  wasted  wrong twice notran\n";
+        << "class                tier   sent  attain  whole not-run broken  left  ttft50  ttft95  ttft99  asked/s   good/s  deliv/s  wasted  wrong twice "
+           "notran\n";
     for (const ClassTally &of : tally.classes()) {
         printClass(out, of, std::to_string(of.tier.level), run.elapsed);
     }
@@ -172,6 +175,7 @@
                                        {"first_token_p95_ms", milliseconds(of.firstTokenQuantile(0.95))},
                                        {"first_token_p99_ms", milliseconds(of.firstTokenQuantile(0.99))},
                                        {"first_token_max_ms", milliseconds(of.firstTokenQuantile(1))},
+                                       {"asked_per_s", perSecond(of.askedTokens, run.elapsed)},
                                        {"goodput_per_s", perSecond(of.goodTokens, run.elapsed)},
                                        {"delivered_per_s", perSecond(of.deliveredTokens, run.elapsed)},
                                        {"generated_tokens", of.generatedTokens},
--- a/src/load/report.h
+++ b/src/load/report.h
@@ -13,7 +13,7 @@
 namespace Rhubarbwind
 {
 
-/** One line a class and one for all; then what was refused by tier, why, and broken promises. */
+/** All rates are per second of the arrivals, so that runs of one plan compare. One line a class and one for all; then what was refused by tier, why, and broken promises. */
 void printTable(std::ostream &out, const std::string &label, const Tally &tally, const LoadRunReport &run, const std::vector<BrokenPromise> &broken);
 /** The same figures as one JSON object a line. */
 void printJsonLines(std::ostream &out, const std::string &label, const Tally &tally, const LoadRunReport &run);
--- a/src/load/tally.cpp
+++ b/src/load/tally.cpp
@@ -69,6 +69,7 @@
     ClassTally &tally = m_classes[request.classIndex];
     const CallerResult &result = bestOf(tries);
     ++tally.sent;
+    tally.askedTokens += request.answerTokens;
     ++tally.outcomes[static_cast<std::size_t>(result.outcome)];
     if (!result.reason.empty()) {
         ++tally.reasons[result.reason];
@@ -114,6 +115,7 @@
             total.reasons[reason] += count;
         }
         total.firstTokens.insert(total.firstTokens.end(), tally.firstTokens.begin(), tally.firstTokens.end());
+        total.askedTokens += tally.askedTokens;
         total.goodTokens += tally.goodTokens;
         total.deliveredTokens += tally.deliveredTokens;
         total.leftTokens += tally.leftTokens;
--- a/src/load/tally.h
+++ b/src/load/tally.h
@@ -66,6 +66,7 @@
     std::array<std::uint64_t, callerOutcomes> outcomes{};
     std::map<std::string, std::uint64_t> reasons;
     std::vector<Duration> firstTokens; ///< sorted by finish()
+    std::uint64_t askedTokens = 0; ///< of all requests sent, had each been answered
     std::uint64_t goodTokens = 0; ///< of answers within their targets
     std::uint64_t deliveredTokens = 0; ///< of whole answers
     std::uint64_t leftTokens = 0; ///< received by callers before they went away
