--- a/cmake/slice.cmake
+++ b/cmake/slice.cmake
@@ -15,13 +15,14 @@
 target_link_libraries(rhubarbwind_options INTERFACE Threads::Threads OpenSSL::Crypto Boost::json xxhash log4cxx)
 
 # Asio and Beast are compiled once here; every network slice reuses the precompiled header.
-file(WRITE ${CMAKE_BINARY_DIR}/net/netlibraries.cpp "#include <boost/asio/impl/src.hpp>\n#include <boost/beast/src.hpp>\n")
+# CONFIGURE leaves an unchanged file alone, so that a new configure run compiles nothing again.
+file(CONFIGURE OUTPUT ${CMAKE_BINARY_DIR}/net/netlibraries.cpp CONTENT "#include <boost/asio/impl/src.hpp>\n#include <boost/beast/src.hpp>\n")
 add_library(rhubarbwind_net STATIC ${CMAKE_BINARY_DIR}/net/netlibraries.cpp)
 target_link_libraries(rhubarbwind_net PUBLIC rhubarbwind_options)
 target_precompile_headers(rhubarbwind_net PRIVATE <boost/asio.hpp> <boost/beast.hpp> <boost/json.hpp> <functional> <map> <memory> <string> <vector>)
 target_compile_options(rhubarbwind_net PRIVATE ${RHUBARBWIND_WARNINGS})
 
-file(WRITE ${CMAKE_BINARY_DIR}/net/testmain.cpp "#define CATCH_CONFIG_MAIN\n#include <catch2/catch.hpp>\n")
+file(CONFIGURE OUTPUT ${CMAKE_BINARY_DIR}/net/testmain.cpp CONTENT "#define CATCH_CONFIG_MAIN\n#include <catch2/catch.hpp>\n")
 add_library(rhubarbwind_testmain STATIC ${CMAKE_BINARY_DIR}/net/testmain.cpp)
 target_link_libraries(rhubarbwind_testmain PUBLIC rhubarbwind_options rapidcheck)
 
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,13 +1,11 @@
 # Sourced by scripts that run a fleet on loopback: starts the stand-ins and hosts, remembers each pid, and ends
-# only those. Callers set `fleet_dir` (logs and generated settings) and `fleet_bin` (the build folder).
+# only those. Callers set `fleet_dir` (logs and generated settings), `fleet_bin` (the build folder) and `fleet_firm`.
 #
-# Addresses: platform 127.0.0.2:6001; router i 127.0.0.(10+i), callers 8080, peers 9090, admin 7070;
-# endpoints as the host list says.
+# Addresses are those of examples/<firm>: platform 127.0.0.2:7100; host i 127.0.0.(10+i), callers 7300, peers 7301,
+# admin 7302; worker i 127.0.0.(30+i):7201; service i 127.0.0.(50+i):7201.
 
 fleet_pids=()
-fleet_platform=127.0.0.2:6001
-fleet_secret="loopback fleet, not a secret"
-fleet_token="loopback-operator"
+fleet_platform=127.0.0.2:7100
 
 fleet_log() { printf '%s\n' "$*" >&2; }
 
@@ -57,43 +55,43 @@
     fleet_wait "http://$fleet_platform/v1/hosts" 10
 }
 
-# fleet_router_settings NUMBER DOMAIN [HOP_COSTS_JSON] writes the settings file of a router and prints its path.
+# fleet_router_settings NUMBER DOMAIN fills in the firm's template and prints the file's path.
 fleet_router_settings() {
-    local number=$1 domain=$2 hops=${3:-[]}
-    local ip=127.0.0.$((10 + number)) file="$fleet_dir/router-$number.json"
-    cat >"$file" <<JSON
-{
-    "host": "router-$number",
-    "domain": "$domain",
-    "callers": {"ip": "$ip", "port": 8080},
-    "peers": {"ip": "$ip", "port": 9090},
-    "admin": {"ip": "$ip", "port": 7070},
-    "peer_secret": "$fleet_secret",
-    "platform": {"address": {"ip": "${fleet_platform%:*}", "port": ${fleet_platform#*:}}, "host_list_interval_ms": 500, "load_report_interval_ms": 500},
-    "drain": {"balancer_delay_ms": 500},
-    "hop_costs": $hops,
-    "operators": [{"name": "loopback", "token_sha256": "$(printf '%s' "$fleet_token" | sha256sum | cut -d' ' -f1)"}],
-}
-JSON
+    local file="$fleet_dir/host-$1.json"
+    sed -e "s/@HOST@/host-$1/; s/@DOMAIN@/$2/; s/@IP@/127.0.0.$((10 + $1))/g" "examples/$fleet_firm/settings.template.json" >"$file"
     printf '%s\n' "$file"
 }
 
-# fleet_router_start NUMBER DOMAIN [HOP_COSTS_JSON]; sets fleet_last_pid
+# fleet_router_start NUMBER DOMAIN; sets fleet_last_pid
 fleet_router_start() {
-    local number=$1 file
+    local file
     file=$(fleet_router_settings "$@")
-    "$fleet_bin/rhubarbwindd" --settings "$file" >>"$fleet_dir/router-$number.log" 2>&1 &
+    "$fleet_bin/rhubarbwindd" --settings "$file" >>"$fleet_dir/host-$1.log" 2>&1 &
     fleet_last_pid=$!
     fleet_remember "$fleet_last_pid"
 }
 
-fleet_router_admin() { printf '127.0.0.%s:7070\n' $((10 + $1)); }
-fleet_router_callers() { printf '127.0.0.%s:8080\n' $((10 + $1)); }
+# fleet_engine_start NUMBER MODEL [MORE OPTIONS...]
+fleet_engine_start() {
+    local number=$1 model=$2
+    shift 2
+    "$fleet_bin/standin-engine" --listen "127.0.0.$((30 + number)):7201" --name "worker-$number" --model "$model" "$@" >"$fleet_dir/worker-$number.log" 2>&1 &
+    fleet_remember $!
+}
+
+# fleet_service_start NUMBER
+fleet_service_start() {
+    "$fleet_bin/standin-service" --listen "127.0.0.$((50 + $1)):7201" >"$fleet_dir/service-$1.log" 2>&1 &
+    fleet_remember $!
+}
+
+fleet_router_admin() { printf '127.0.0.%s:7302\n' $((10 + $1)); }
+fleet_router_callers() { printf '127.0.0.%s:7300\n' $((10 + $1)); }
 
 fleet_router_ready() { fleet_wait "http://$(fleet_router_admin "$1")/healthz/ready" "${2:-20}"; }
 
 fleet_ctl() {
     local number=$1
     shift
-    "$fleet_bin/rhubarbwindctl" --address "$(fleet_router_admin "$number")" --token "$fleet_token" "$@"
+    "$fleet_bin/rhubarbwindctl" --address "$(fleet_router_admin "$number")" --token "$fleet_firm-operator" "$@"
 }
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -23,6 +23,8 @@
 namespace Acc = boost::accumulators;
 
 constexpr std::array<double, 3> quantiles{0.5, 0.95, 0.99};
+// P-square keeps 2 * quantiles + 3 markers and reads as zero until each has a value.
+constexpr std::size_t leastForQuantiles = 2 * quantiles.size() + 3;
 constexpr std::string_view droppedName = "rhubarbwind_metrics_dropped_total";
 
 using SumSet = Acc::accumulator_set<double, Acc::stats<Acc::tag::sum>>;
@@ -93,7 +95,11 @@
     }
     const SummarySet &set = std::get<Summary>(series).set;
     const std::string prefix = labels.empty() ? "" : labels + ",";
+    const bool enough = Acc::count(set) >= leastForQuantiles;
     for (const double quantile : quantiles) {
+        if (!enough) {
+            break;
+        }
         out << name << '{' << prefix << "quantile=\"" << quantile << "\"} " << Acc::quantile(set, Acc::quantile_probability = quantile) << '\n';
     }
     out << name << "_sum" << braced(labels) << ' ' << Acc::sum(set) << '\n';
--- a/src/telemetry/telemetry_test.cpp
+++ b/src/telemetry/telemetry_test.cpp
@@ -22,6 +22,19 @@
     REQUIRE(metrics.value("requests_total", {{"class", "quick \"a\""}}) == 2);
 }
 
+TEST_CASE("a summary of few observations prints no quantiles instead of zeros")
+{
+    // An operator would read a first-token p95 of zero. The algorithm has no marker values until nine
+    // observations came, and prints zero until then.
+    Metrics metrics;
+    for (int i = 0; i < 8; ++i) {
+        metrics.observe("wait_seconds", {}, 5);
+    }
+    REQUIRE_THAT(metrics.exposition(), !Catch::Contains("quantile"));
+    metrics.observe("wait_seconds", {}, 5);
+    REQUIRE_THAT(metrics.exposition(), Catch::Contains("wait_seconds{quantile=\"0.95\"} 5\n"));
+}
+
 TEST_CASE("series are bounded")
 {
     Metrics metrics;
