Tell a mere change of preset version in 16 bytes, and tell everything less often

Cause: with three times log2(hosts) transmissions and whole tellings for versions, the ten seconds after a switch cost 24 KB/s a host (in and out) at 96 hosts. Ruled out: leaving versions to the probes alone; at 370 hosts a laggard would show for minutes. Conclusion: the news of one switch is about a sixth as large.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -56,7 +56,6 @@
         add(member.host.text());
         add(member.incarnation.start);
         add(member.incarnation.refutations);
-        add(member.presetVersion);
         add(member.leaving ? 1 : 0);
     }
     std::uint64_t value() const
@@ -98,7 +97,7 @@
     m_lastHeard = now;
     m_nextPeriod = now + fromSeconds(m_random.uniform() * toSeconds(m_settings.period));
     m_nextSync = now + fromSeconds(m_random.uniform() * toSeconds(m_settings.syncInterval));
-    m_memberNews[m_self.host] = 0;
+    m_memberNews[m_self.host] = News();
     return hostList(now, seeds);
 }
 
@@ -145,6 +144,9 @@
     for (const EndpointFact &fact : message.endpoints) {
         hearEndpoint(fact);
     }
+    for (const VersionTelling &telling : message.versions) {
+        hearVersion(now, telling);
+    }
     if (active()) {
         answer(now, message);
     }
@@ -177,7 +179,7 @@
 MembershipActions Membership::leave(TimePoint now)
 {
     m_self.leaving = true;
-    m_memberNews[m_self.host] = 0;
+    m_memberNews[m_self.host] = News();
     m_nextGossip = now;
     gossip(now);
     return takeActions();
@@ -205,7 +207,7 @@
 {
     if (version > m_self.presetVersion) {
         m_self.presetVersion = version;
-        m_memberNews[m_self.host] = 0;
+        m_memberNews[m_self.host] = News();
         gossip(now);
     }
     return takeActions();
@@ -303,7 +305,7 @@
     if (telling.incarnation.start > m_self.incarnation.start) {
         if (now - m_startedAt < adoptStartWithin) {
             m_self.incarnation = {telling.incarnation.start + 1, 0};
-            m_memberNews[m_self.host] = 0;
+            m_memberNews[m_self.host] = News();
             return;
         }
         // This process was frozen, was replaced under its name, and woke. Its successor holds the name now; two
@@ -315,7 +317,7 @@
     const bool sameLife = telling.incarnation.start == m_self.incarnation.start;
     if (sameLife && telling.state != MemberState::Alive && telling.incarnation.refutations >= m_self.incarnation.refutations) {
         m_self.incarnation.refutations = telling.incarnation.refutations + 1;
-        m_memberNews[m_self.host] = 0;
+        m_memberNews[m_self.host] = News();
     }
 }
 
@@ -330,7 +332,8 @@
         known.listedLeaving = listed != m_listed.end() && listed->second.leaving;
         Known &added = m_members.emplace(telling.host, known).first->second;
         setState(now, added);
-        m_memberNews[telling.host] = 0;
+        m_lives[lifeKey(telling)] = telling.host;
+        m_memberNews[telling.host] = News();
         m_actions.emplace_back(MemberChanged{telling});
         notePresetVersion(telling);
         return;
@@ -342,7 +345,15 @@
     if (known.member == before) {
         return;
     }
-    m_memberNews[telling.host] = 0;
+    Member atOldVersion = known.member;
+    atOldVersion.presetVersion = before.presetVersion;
+    const auto pending = m_memberNews.find(telling.host);
+    const bool wholePending = pending != m_memberNews.end() && !pending->second.versionOnly;
+    m_memberNews[telling.host] = News{0, atOldVersion == before && !wholePending};
+    if (known.member.incarnation.start != before.incarnation.start) {
+        m_lives.erase(lifeKey(before));
+        m_lives[lifeKey(known.member)] = telling.host;
+    }
     if (known.member.state != before.state || known.member.incarnation != before.incarnation) {
         setState(now, known);
     }
@@ -351,6 +362,17 @@
     }
 }
 
+void Membership::hearVersion(TimePoint now, const VersionTelling &telling)
+{
+    const auto life = m_lives.find(telling.life);
+    if (life == m_lives.end()) {
+        return; // Of this host itself, or of one not known yet: its own datagrams carry the version too.
+    }
+    Member member = m_members.at(life->second).member;
+    member.presetVersion = telling.version;
+    learn(now, member);
+}
+
 void Membership::setState(TimePoint now, Known &known)
 {
     known.suspectUntil.reset();
@@ -385,7 +407,7 @@
             }
         }
     }
-    m_endpointNews[fact.endpoint] = 0;
+    m_endpointNews[fact.endpoint] = News();
     m_actions.emplace_back(EndpointFactChanged{fact});
 }
 
@@ -407,9 +429,17 @@
         const bool rightLives = right.second.member.state != MemberState::Dead;
         return std::tie(leftLives, left.second.diedAt) < std::tie(rightLives, right.second.diedAt);
     });
-    m_actions.emplace_back(MemberForgotten{first->first});
-    m_memberNews.erase(first->first);
-    m_members.erase(first);
+    const HostId host = first->first;
+    forget(host);
+}
+
+void Membership::forget(const HostId &host)
+{
+    const auto found = m_members.find(host);
+    m_lives.erase(lifeKey(found->second.member));
+    m_members.erase(found);
+    m_memberNews.erase(host);
+    m_actions.emplace_back(MemberForgotten{host});
 }
 
 void Membership::answer(TimePoint now, const MembershipMessage &message)
@@ -634,15 +664,15 @@
 
 void Membership::forgetDead(TimePoint now)
 {
-    std::erase_if(m_members, [&](const auto &entry) {
-        const Known &known = entry.second;
-        const bool forgotten = known.member.state == MemberState::Dead && now - known.diedAt >= m_settings.deadRetention;
-        if (forgotten) {
-            m_memberNews.erase(entry.first);
-            m_actions.emplace_back(MemberForgotten{entry.first});
+    std::vector<HostId> expired;
+    for (const auto &[host, known] : m_members) {
+        if (known.member.state == MemberState::Dead && now - known.diedAt >= m_settings.deadRetention) {
+            expired.push_back(host);
         }
-        return forgotten;
-    });
+    }
+    for (const HostId &host : expired) {
+        forget(host);
+    }
 }
 
 Duration Membership::suspicionTime() const
@@ -739,7 +769,8 @@
     }
     const auto add = [&](auto &list, const auto &telling) {
         const std::size_t added = encodedBytesBound(telling);
-        const bool fits = bytes + added <= maxDatagramBytes && message.members.size() + message.endpoints.size() < maxTellingsPerDatagram;
+        const bool fits =
+            bytes + added <= maxDatagramBytes && message.members.size() + message.endpoints.size() + message.versions.size() < maxTellingsPerDatagram;
         if (fits) {
             bytes += added;
             list.push_back(telling);
@@ -757,20 +788,24 @@
         if (!add(message.endpoints, m_endpoints.at(it->first))) {
             break;
         }
-        it = ++it->second >= limit ? m_endpointNews.erase(it) : std::next(it);
+        it = ++it->second.sent >= limit ? m_endpointNews.erase(it) : std::next(it);
     }
     // The least told first: fresh news overtakes what has nearly run its course.
     std::vector<std::pair<std::size_t, HostId>> order;
-    for (const auto &[host, sent] : m_memberNews) {
-        order.emplace_back(sent, host);
+    for (const auto &[host, news] : m_memberNews) {
+        order.emplace_back(news.sent, host);
     }
     std::sort(order.begin(), order.end());
     for (const auto &[sent, host] : order) {
         const bool carriedAnyway = host == m_self.host || (tellAccused && host == recipient);
-        if (!carriedAnyway && !add(message.members, m_members.at(host).member)) {
+        News &news = m_memberNews.at(host);
+        const Member &member = host == m_self.host ? m_self : m_members.at(host).member;
+        const bool added =
+            carriedAnyway || (news.versionOnly ? add(message.versions, VersionTelling{lifeKey(member), member.presetVersion}) : add(message.members, member));
+        if (!added) {
             break;
         }
-        if (++m_memberNews.at(host) >= limit) {
+        if (++news.sent >= limit) {
             m_memberNews.erase(host);
         }
     }
@@ -778,7 +813,7 @@
 
 std::size_t Membership::transmissionLimit() const
 {
-    return m_settings.retransmitFactor * log2Ceil(liveCount());
+    return m_settings.extraTransmissions + log2Ceil(liveCount());
 }
 
 std::size_t Membership::liveCount() const
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -27,6 +27,7 @@
 #include <optional>
 #include <set>
 #include <span>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -48,8 +49,8 @@
     Duration deafGrace = 8s; ///< how long a host that hears nobody at all withholds accusations
     std::size_t indirectProbes = 3;
     std::size_t gossipFanout = 2;
-    std::size_t retransmitFactor = 3; ///< a telling is sent this many times log2(hosts)
-    std::size_t suspicionPeriods = 3; ///< suspicion time is this and log2(hosts) periods
+    std::size_t extraTransmissions = 3; ///< a telling is sent this and log2(hosts) times by each host
+    std::size_t suspicionPeriods = 2; ///< suspicion time is this and log2(hosts) periods
 };
 
 struct SendDatagram
@@ -138,6 +139,12 @@
         TimePoint diedAt;
         bool listedLeaving = false;
     };
+    /** A telling to pass on. */
+    struct News
+    {
+        std::size_t sent = 0;
+        bool versionOnly = false; ///< nothing but the preset version changed since it was last told whole
+    };
     struct Probe
     {
         HostId target;
@@ -165,10 +172,12 @@
     void hearMember(TimePoint now, const Member &telling);
     void hearAboutSelf(TimePoint now, const Member &telling);
     void learn(TimePoint now, const Member &telling);
+    void hearVersion(TimePoint now, const VersionTelling &telling);
     void setState(TimePoint now, Known &known);
     void hearEndpoint(const EndpointFact &fact);
     void notePresetVersion(const Member &member);
     void makeRoom();
+    void forget(const HostId &host);
     void answer(TimePoint now, const MembershipMessage &message);
     void answerPing(const MembershipMessage &message);
     void answerAck(const MembershipMessage &message);
@@ -206,8 +215,9 @@
     std::map<HostId, Known> m_members;
     std::map<HostId, ListedHost> m_listed;
     std::map<EndpointId, EndpointFact> m_endpoints;
-    std::map<HostId, std::size_t> m_memberNews; ///< tellings to pass on, with how often each was sent
-    std::map<EndpointId, std::size_t> m_endpointNews;
+    std::map<HostId, News> m_memberNews;
+    std::map<EndpointId, News> m_endpointNews;
+    std::unordered_map<std::uint64_t, HostId> m_lives; ///< by lifeKey()
     std::vector<HostId> m_probeOrder;
     std::optional<Probe> m_probe;
     std::vector<Relay> m_relays;
--- a/src/membership/membershipmessage.cpp
+++ b/src/membership/membershipmessage.cpp
@@ -7,6 +7,8 @@
 #include <optional>
 #include <string>
 
+#include <xxhash.h>
+
 namespace Rhubarbwind
 {
 
@@ -17,7 +19,8 @@
 // Fixed parts of each table with its vtable, its offset in a vector and the worst padding.
 constexpr std::size_t memberFixedBytes = 80;
 constexpr std::size_t endpointFixedBytes = 44;
-constexpr std::size_t messageFixedBytes = 120;
+constexpr std::size_t versionBytes = 16;
+constexpr std::size_t messageFixedBytes = 132;
 
 // FlatBuffers text: length, characters, terminating zero, padding to four.
 std::size_t textBytesBound(std::string_view text)
@@ -70,11 +73,16 @@
     for (const EndpointFact &fact : message.endpoints) {
         endpoints.push_back(writeEndpoint(builder, fact));
     }
+    std::vector<Fbs::VersionTelling> versions;
+    for (const VersionTelling &telling : message.versions) {
+        versions.emplace_back(telling.life, telling.version);
+    }
     const flatbuffers::Offset<flatbuffers::String> target = message.target.empty() ? 0 : builder.CreateString(message.target.text());
     const flatbuffers::Offset<flatbuffers::String> targetIp = message.targetAddress.ip.empty() ? 0 : builder.CreateString(message.targetAddress.ip);
     const flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Fbs::MemberTelling>>> memberVector = members.empty() ? 0 : builder.CreateVector(members);
     const flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Fbs::EndpointTelling>>> endpointVector =
         endpoints.empty() ? 0 : builder.CreateVector(endpoints);
+    const flatbuffers::Offset<flatbuffers::Vector<const Fbs::VersionTelling *>> versionVector = versions.empty() ? 0 : builder.CreateVectorOfStructs(versions);
     builder.Finish(Fbs::CreateMembershipDatagram(builder,
                                                  static_cast<std::uint8_t>(message.kind),
                                                  message.sequence,
@@ -84,7 +92,8 @@
                                                  message.digest,
                                                  sender,
                                                  memberVector,
-                                                 endpointVector));
+                                                 endpointVector,
+                                                 versionVector));
 }
 
 std::optional<Member> readMember(const Fbs::MemberTelling *telling)
@@ -123,7 +132,8 @@
 {
     const std::size_t memberCount = datagram.members() == nullptr ? 0 : datagram.members()->size();
     const std::size_t endpointCount = datagram.endpoints() == nullptr ? 0 : datagram.endpoints()->size();
-    if (memberCount + endpointCount > maxTellingsPerDatagram) {
+    const std::size_t versionCount = datagram.versions() == nullptr ? 0 : datagram.versions()->size();
+    if (memberCount + endpointCount + versionCount > maxTellingsPerDatagram) {
         return false;
     }
     for (std::size_t i = 0; i < memberCount; ++i) {
@@ -140,11 +150,21 @@
         }
         message.endpoints.push_back(*fact);
     }
+    for (std::size_t i = 0; i < versionCount; ++i) {
+        const Fbs::VersionTelling *telling = datagram.versions()->Get(static_cast<flatbuffers::uoffset_t>(i));
+        message.versions.push_back({telling->life(), telling->version()});
+    }
     return true;
 }
 
 } // namespace
 
+std::uint64_t lifeKey(const Member &member)
+{
+    const std::string &host = member.host.text();
+    return XXH3_64bits_withSeed(host.data(), host.size(), member.incarnation.start);
+}
+
 std::size_t encodedBytesBound(const Member &member)
 {
     return memberFixedBytes + textBytesBound(member.host.text()) + textBytesBound(member.address.ip) + textBytesBound(member.domain.text());
@@ -155,6 +175,11 @@
     return endpointFixedBytes + textBytesBound(fact.endpoint.text());
 }
 
+std::size_t encodedBytesBound(const VersionTelling &)
+{
+    return versionBytes;
+}
+
 std::size_t encodedBytesBound(const MembershipMessage &message)
 {
     return tagBytes + messageFixedBytes + encodedBytesBound(message.sender) + textBytesBound(message.target.text()) + textBytesBound(message.targetAddress.ip);
--- a/src/membership/membershipmessage.h
+++ b/src/membership/membershipmessage.h
@@ -22,7 +22,18 @@
 inline constexpr std::size_t maxDatagramBytes = 1400;
 /** Longest host, domain, endpoint or address text in a datagram. */
 inline constexpr std::size_t maxMembershipText = 64;
-inline constexpr std::size_t maxTellingsPerDatagram = 64;
+inline constexpr std::size_t maxTellingsPerDatagram = 128;
+
+/** The preset version of a host that the receiver most likely knows; a sixth of a whole telling. */
+struct VersionTelling
+{
+    std::uint64_t life = 0; ///< lifeKey() of the host
+    std::uint64_t version = 0;
+    friend bool operator==(const VersionTelling &, const VersionTelling &) = default;
+};
+
+/** Names one life of one host in 8 bytes; a collision would show a host at another's preset version. */
+std::uint64_t lifeKey(const Member &member);
 
 enum class MembershipMessageKind : std::uint8_t {
     Ping, ///< "are you the target, and alive?"
@@ -42,6 +53,7 @@
     Member sender; ///< as the sender tells of itself
     std::vector<Member> members;
     std::vector<EndpointFact> endpoints;
+    std::vector<VersionTelling> versions;
     friend bool operator==(const MembershipMessage &, const MembershipMessage &) = default;
 };
 
@@ -55,6 +67,7 @@
 /** Upper bounds of what one telling adds to an encoded datagram. */
 std::size_t encodedBytesBound(const Member &member);
 std::size_t encodedBytesBound(const EndpointFact &fact);
+std::size_t encodedBytesBound(const VersionTelling &telling);
 /** Upper bound of the encoded datagram without its tellings. */
 std::size_t encodedBytesBound(const MembershipMessage &message);
 
