Prove the platform client's look at idle connections and its single second try

Cause: with these mechanisms taken out by hand no test failed. Change: the stand-in can lose an exact number of answers; contract tests cover a write after a lost idle connection, a read cut off on a reused one, and announcements of an adoption. Printed presets show 0.02 where the library prints 2E-2. Conclusion: each of the tests fails without its mechanism and passes with it.

--- a/src/preset/presetjson.cpp
+++ b/src/preset/presetjson.cpp
@@ -11,7 +11,8 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
-#include <cmath>
+#include <array>
+#include <charconv>
 #include <limits>
 #include <set>
 #include <unordered_set>
@@ -560,6 +561,19 @@
             {"placement", std::move(placement)}};
 }
 
+/** As people write it: 0.02 where the library prints 2E-2. */
+std::string shortestReal(double number)
+{
+    constexpr std::size_t longestReal = 32;
+    std::array<char, longestReal> text{};
+    const std::to_chars_result printed = std::to_chars(text.data(), text.data() + text.size(), number);
+    std::string real(text.data(), printed.ptr);
+    if (real.find_first_of(".e") == std::string::npos) {
+        real += ".0";
+    }
+    return real;
+}
+
 void printIndented(const json::value &value, std::size_t depth, std::string &out);
 
 /** One member or element a line, between the given brackets. */
@@ -595,7 +609,7 @@
         printBlock(*list, '[', ']', depth, out, [&](const json::value &item) { printIndented(item, depth + 1, out); });
         return;
     }
-    out += json::serialize(value);
+    out += value.is_double() ? shortestReal(value.get_double()) : json::serialize(value);
 }
 
 } // namespace
--- a/src/preset/presetspread_test.cpp
+++ b/src/preset/presetspread_test.cpp
@@ -6,7 +6,7 @@
 #include <rapidcheck/catch.h>
 
 #include <algorithm>
-#include <deque>
+#include <set>
 
 using namespace Rhubarbwind;
 using namespace Rhubarbwind::Testing;
@@ -131,6 +131,21 @@
     CHECK(has(spread.advance(start + 3s), SpreadAction::Kind::ReadPlatform));
 }
 
+TEST_CASE("a host that adopts a version tells a few peers, once")
+{
+    PresetSpread spread = settledHost();
+    spread.adopted(2, start);
+    SpreadActions actions = spread.advance(start);
+    std::erase_if(actions, [](const SpreadAction &action) { return action.kind != SpreadAction::Kind::Announce; });
+    std::set<HostId> told;
+    for (const SpreadAction &action : actions) {
+        told.insert(action.peer);
+    }
+    CHECK(told.size() == PresetSpreadOptions().announceTo);
+    CHECK_FALSE(told.contains(hostName(0)));
+    CHECK_FALSE(has(spread.advance(start + 1ms), SpreadAction::Kind::Announce));
+}
+
 TEST_CASE("news during a read leads to another read")
 {
     PresetSpread spread = settledHost();
--- a/src/standins/platformcontract_test.cpp
+++ b/src/standins/platformcontract_test.cpp
@@ -298,23 +298,40 @@
     CHECK(bench.server->store().find("b") == nullptr);
 }
 
-// A read on a connection that had been idle ends well although the platform closed it. First the platform drops
-// all connections, then the client reads again. Without the fresh connection the caller would see a failure
-// that no fault of the platform explains.
-TEST_CASE("a read survives the loss of idle connections", "[contract]")
+// Calls end well although the platform closed the connections while they were idle. First the platform restarts,
+// then the client calls again. Without a look at the connection before its use the write would be sent into the
+// void and end Unknown, which no fault of that moment explains.
+TEST_CASE("calls survive the loss of idle connections", "[contract]")
 {
+    const bool writeFirst = GENERATE(true, false);
+    CAPTURE(writeFirst);
     Bench bench;
     REQUIRE(bench.put("a", "1", WriteCondition::absent()).has_value());
-    const std::uint16_t port = bench.server->port();
+    PlatformServerOptions same;
+    same.port = bench.server->port();
     const PlatformStore stored = bench.server->store();
     bench.server.reset();
-    bench.context.run_for(std::chrono::milliseconds(20));
-    PlatformServerOptions same;
-    same.port = port;
+    bench.context.poll();
     bench.server.emplace(bench.context, same);
     bench.server->store() = stored;
+    if (writeFirst) {
+        CHECK(bench.put("b", "1", WriteCondition::absent()).has_value());
+    }
+    CHECK(bench.get("a").value().value == "1");
+}
+
+// The platform closes a connection just as it is used again. A read is tried once more on a fresh connection,
+// since reading twice changes nothing. A write is not: it may have taken effect, and only its caller can tell.
+TEST_CASE("a read cut off on a reused connection is tried once more, a write never", "[contract]")
+{
+    Bench bench;
+    REQUIRE(bench.put("a", "1", WriteCondition::absent()).has_value());
+    bench.server->setFaults(faultsWith([](PlatformFaults &faults) { faults.loseNext = 1; }));
     CHECK(bench.get("a").value().value == "1");
-    CHECK(bench.put("b", "1", WriteCondition::absent()).has_value());
+    CHECK(bench.server->counters().reads == 2);
+    bench.server->setFaults(faultsWith([](PlatformFaults &faults) { faults.loseNext = 1; }));
+    CHECK(bench.put("b", "1", WriteCondition::absent()).error().kind == PlatformErrorKind::Unknown);
+    CHECK(bench.server->counters().writes == 2);
 }
 
 TEST_CASE("the host list is read, and shows a change after its lag", "[contract]")
--- a/src/standins/platformserver.cpp
+++ b/src/standins/platformserver.cpp
@@ -38,6 +38,7 @@
 constexpr std::size_t maxBodyBytes = 1'100'000; ///< above the largest value, so that the store itself refuses
 constexpr std::int64_t maxWatchWaitMs = 60'000;
 constexpr std::int64_t maxLatencyMs = 600'000;
+constexpr double maxCounted = 1e9; ///< of calls that a fault counts
 constexpr double bucketBurst = 1.0; ///< part of a second's rate that may come at once
 
 std::string percentDecoded(std::string_view text)
@@ -190,6 +191,7 @@
     const double latencyMs = numberOr(changes, "latency_ms", toSeconds(faults.latency) * 1000);
     faults.latency = fromSeconds(std::clamp(latencyMs, 0.0, static_cast<double>(maxLatencyMs)) / 1000);
     faults.loseAnswers = numberOr(changes, "lose_answers", faults.loseAnswers);
+    faults.loseNext = static_cast<std::uint64_t>(std::clamp(numberOr(changes, "lose_next", static_cast<double>(faults.loseNext)), 0.0, maxCounted));
     faults.silentCalls = flagOr(changes, "silent_calls", faults.silentCalls);
     faults.silentWatches = flagOr(changes, "silent_watches", faults.silentWatches);
     faults.repeatEvents = flagOr(changes, "repeat_events", faults.repeatEvents);
@@ -266,7 +268,9 @@
     }
     bool losesAnswer()
     {
-        const bool loses = m_faults.loseAnswers > 0 && m_random.uniform() < m_faults.loseAnswers;
+        const bool counted = m_faults.loseNext > 0;
+        m_faults.loseNext -= counted ? 1 : 0;
+        const bool loses = counted || (m_faults.loseAnswers > 0 && m_random.uniform() < m_faults.loseAnswers);
         m_counters.lostAnswers += loses ? 1 : 0;
         return loses;
     }
--- a/src/standins/platformserver.h
+++ b/src/standins/platformserver.h
@@ -28,6 +28,7 @@
     bool unavailable = false; ///< every call gets 503 without effect
     Duration latency{}; ///< each answer waits this long; the effect is at once
     double loseAnswers = 0.0; ///< probability that a call takes effect and its connection closes without an answer
+    std::uint64_t loseNext = 0; ///< so many next calls take effect and lose their answers
     bool silentCalls = false; ///< calls take effect and are never answered; the connection stays open
     bool silentWatches = false; ///< watches are never answered, not even after their wait
     bool repeatEvents = false; ///< each watch answer also repeats the event before, where there is one
