--- a/src/platform/objectclient.cpp
+++ b/src/platform/objectclient.cpp
@@ -112,7 +112,7 @@
 }
 
 template <Clock ClockType>
-void ObjectClient<ClockType>::watch(const std::string &prefix, std::uint64_t after, Duration wait, PlatformHandler<WatchBatch> handler)
+void ObjectClient<ClockType>::watch(const std::string &prefix, std::uint64_t after, Duration wait, const PlatformHandler<WatchBatch> &handler)
 {
     const std::shared_ptr<PlatformConnections<ClockType>> connections = m_connections;
     const AnswerHandler onListed = [after, handler](const PlatformResult<HttpAnswer> &answer) {
--- a/src/platform/platformconnections.h
+++ b/src/platform/platformconnections.h
@@ -31,7 +31,7 @@
     std::size_t maxConnections = 8;
     std::size_t maxWatches = 8;
     std::size_t maxQueued = 256;
-    std::size_t maxAnswerBytes = 32 * 1024 * 1024;
+    std::size_t maxAnswerBytes = 32'000'000; ///< of a listing; single values are at most 1 MB
     PlatformRates rates;
 };
 
--- a/src/preset/presetservice.h
+++ b/src/preset/presetservice.h
@@ -147,7 +147,7 @@
     }
 
     /** Who put what in force, by version, oldest first. Lines that cannot be read are left out and logged. */
-    void history(PlatformHandler<std::vector<PresetHistoryEntry>> handler)
+    void history(const PlatformHandler<std::vector<PresetHistoryEntry>> &handler)
     {
         m_api.list(presetHistoryPrefix, [this, self = this->shared_from_this(), handler](const PlatformResult<std::vector<StoredObject>> &objects) {
             PlatformResult<std::vector<PresetHistoryEntry>> lines = readAll<PresetHistoryEntry>(objects, parseHistoryEntry);
@@ -160,7 +160,7 @@
     }
 
     /** The library, in order of names. Entries that cannot be read are left out and logged. */
-    void list(PlatformHandler<std::vector<LibraryPreset>> handler)
+    void list(const PlatformHandler<std::vector<LibraryPreset>> &handler)
     {
         m_api.list(presetLibraryPrefix, [this, self = this->shared_from_this(), handler](const PlatformResult<std::vector<StoredObject>> &objects) {
             handler(readAll<LibraryPreset>(objects, parseLibraryPreset));
