--- a/src/relay/relaybench_test.h
+++ b/src/relay/relaybench_test.h
@@ -33,6 +33,24 @@
     }
 }
 
+/** The same, while the manual clock moves whenever nothing is ready, by at most `most` in all. */
+template <class Condition>
+void runUntilAdvancing(asio::io_context &io, Duration most, Condition condition)
+{
+    constexpr Duration step = 20ms;
+    Duration passed{};
+    const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + 20s;
+    while (!condition()) {
+        REQUIRE(std::chrono::steady_clock::now() < end);
+        io.restart();
+        const bool idle = io.run_one_for(std::chrono::milliseconds(1)) == 0;
+        if (idle && passed < most) {
+            passed += step;
+            ManualClock::advance(step);
+        }
+    }
+}
+
 /** Runs what is ready until nothing has happened for a while: for showing that something does not happen. */
 inline void settle(asio::io_context &io)
 {
@@ -42,12 +60,16 @@
     }
 }
 
+inline std::string plainAnswer(const std::string &status, const std::string &headers, const std::string &body)
+{
+    return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 /** What an endpoint does with one connection: sends these bytes, then closes, or stays open in silence. */
 struct Script
 {
     std::string bytes;
     bool close = true;
-    bool endsAtOnce = false; ///< close without reading
 };
 
 /** An endpoint that answers each connection by script; the last script repeats. */
@@ -64,7 +86,13 @@
 
     std::uint16_t port() const
     {
-        return m_acceptor.local_endpoint().port();
+        return m_acceptor.is_open() ? m_acceptor.local_endpoint().port() : m_port;
+    }
+    /** From now on its port refuses connections. */
+    void stopListening()
+    {
+        m_port = port();
+        m_acceptor.close();
     }
     /** How many requests began with this text. */
     std::size_t count(std::string_view start) const
@@ -111,7 +139,7 @@
             text << peer->request;
             m_requests.push_back(text.str());
             const bool cancels = peer->request.method() == http::verb::delete_;
-            const Script script = cancels ? Script{cancelAnswer, true} : nextScript();
+            const Script script = cancels ? Script{plainAnswer("200 OK", "", R"({"state":"cancelled","tokens":7})"), true} : nextScript();
             peer->answer = script.bytes;
             asio::async_write(peer->socket, asio::buffer(peer->answer), [peer, script](boost::system::error_code, std::size_t) {
                 if (script.close) {
@@ -130,10 +158,9 @@
         return script;
     }
 
-    static inline const std::string cancelAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 34\r\n\r\n{\"state\":\"cancelled\",\"tokens\":7   }";
-
     asio::io_context &m_io;
     Tcp::acceptor m_acceptor;
+    std::uint16_t m_port = 0;
     std::deque<Script> m_scripts;
     std::vector<std::string> m_requests;
     std::vector<std::shared_ptr<Peer>> m_peers;
@@ -159,11 +186,6 @@
 {
     return "data: [DONE]\n\n";
 }
-inline std::string plainAnswer(const std::string &status, const std::string &headers, const std::string &body)
-{
-    return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 class FakePermits
 {
 public:
@@ -365,6 +387,14 @@
         return caller;
     }
 
+    /** The same, with the clock moving: for waits before retries, and for silence. */
+    std::unique_ptr<Caller> callAdvancing(const std::string &request, Duration most)
+    {
+        std::unique_ptr<Caller> caller = std::make_unique<Caller>(io, relay.port(), request);
+        runUntilAdvancing(io, most, [&] { return caller->closed(); });
+        return caller;
+    }
+
     asio::io_context io;
     Metrics metrics;
     SpanRing spans{1000};
