--- a/src/relay/relaybench_test.h
+++ b/src/relay/relaybench_test.h
@@ -4,6 +4,7 @@
 
 #include "base/digest.h"
 #include "relay/relay.h"
+#include "telemetry/log.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
@@ -356,6 +357,7 @@
         : relay(
             io, options, permits, claims, [this] { return preset; }, [this](const EndpointId &id) { return find(id); }, metrics, spans, HostId("host-1"))
     {
+        configureLogs(LogLayout::Text, LogLevel::Error);
         const std::shared_ptr<PresetInForce> value = std::make_shared<PresetInForce>();
         value->version = 1;
         for (const auto &[name, idempotent, reproducible] :
--- a/src/relay/relayparts_test.cpp
+++ b/src/relay/relayparts_test.cpp
@@ -1,3 +1,4 @@
+#include "base/digest.h"
 #include "relay/chatshape.h"
 #include "relay/customerlookup.h"
 #include "relay/retrybudget.h"
