--- a/src/load/caller.cpp
+++ b/src/load/caller.cpp
@@ -13,7 +13,7 @@
 namespace Http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr std::uint64_t largestAnswer = 32 * 1024 * 1024;
+constexpr std::uint64_t largestAnswer = std::uint64_t{32} * 1024 * 1024;
 constexpr const char *classHeader = "X-Rhubarbwind-Class";
 constexpr const char *outcomeHeader = "X-Rhubarbwind-Outcome";
 /** The statuses of a request that was wrong rather than unlucky; 408, 409 and 429 are not among them. */
--- a/src/standins/endpoints_test.cpp
+++ b/src/standins/endpoints_test.cpp
@@ -55,7 +55,7 @@
     }
 
     /** Sends without waiting for the answer. */
-    std::shared_ptr<Exchange> send(std::uint16_t port, Http::verb verb, std::string target, std::string body = {}, StandinHeaders headers = {})
+    std::shared_ptr<Exchange> send(std::uint16_t port, Http::verb verb, const std::string &target, std::string body = {}, const StandinHeaders &headers = {})
     {
         struct Call
         {
@@ -83,20 +83,20 @@
         return exchange;
     }
 
-    std::shared_ptr<Exchange> engine(Http::verb verb, std::string target, std::string body = {}, StandinHeaders headers = {})
+    std::shared_ptr<Exchange> engine(Http::verb verb, const std::string &target, std::string body = {}, const StandinHeaders &headers = {})
     {
-        return finish(send(m_engine->port(), verb, std::move(target), std::move(body), std::move(headers)));
+        return finish(send(m_engine->port(), verb, target, std::move(body), headers));
     }
-    std::shared_ptr<Exchange> service(Http::verb verb, std::string target, std::string body = {})
+    std::shared_ptr<Exchange> service(Http::verb verb, const std::string &target, std::string body = {})
     {
-        return finish(send(m_service->port(), verb, std::move(target), std::move(body)));
+        return finish(send(m_service->port(), verb, target, std::move(body)));
     }
     std::shared_ptr<Exchange> startRun(const std::string &id, std::uint32_t tokens)
     {
         return send(m_engine->port(), Http::verb::post, "/v1/chat/completions", runBody(id, tokens), {{"X-Request-Id", id}});
     }
 
-    std::shared_ptr<Exchange> finish(std::shared_ptr<Exchange> exchange)
+    std::shared_ptr<Exchange> finish(const std::shared_ptr<Exchange> &exchange)
     {
         const TimePoint limit = SteadyClock::now() + hangLimit;
         while (!exchange->done && SteadyClock::now() < limit) {
--- a/src/standins/enginemodel.h
+++ b/src/standins/enginemodel.h
@@ -219,7 +219,10 @@
         std::int32_t priority;
         std::uint64_t arrival;
         EngineRun *run;
-        friend auto operator<=>(const QueueKey &, const QueueKey &) = default;
+        bool operator<(const QueueKey &other) const
+        {
+            return priority != other.priority ? priority < other.priority : arrival < other.arrival;
+        }
     };
     struct LoadSample
     {
--- a/src/standins/standinhttp.cpp
+++ b/src/standins/standinhttp.cpp
@@ -156,7 +156,7 @@
     m_ending = false;
     m_unsent = "HTTP/1.1 200 OK\r\nServer: " + std::string(serverName) + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
     for (const auto &[name, value] : headers) {
-        m_unsent += name + ": " + value + "\r\n";
+        m_unsent.append(name).append(": ").append(value).append("\r\n");
     }
     m_unsent += "\r\n";
     writeStream();
--- a/src/standins/standinhttp.h
+++ b/src/standins/standinhttp.h
@@ -28,8 +28,8 @@
 namespace Rhubarbwind
 {
 
-inline constexpr std::uint64_t maxBodyBytes = 4 * 1024 * 1024;
-inline constexpr std::size_t maxUnsentBytes = 4 * 1024 * 1024;
+inline constexpr std::uint64_t maxBodyBytes = std::uint64_t{4} * 1024 * 1024;
+inline constexpr std::size_t maxUnsentBytes = std::size_t{4} * 1024 * 1024;
 
 using StandinRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using StandinHeaders = std::vector<std::pair<std::string, std::string>>;
