--- a/src/membership/capacity_test.cpp
+++ b/src/membership/capacity_test.cpp
@@ -73,7 +73,7 @@
     const std::size_t memoryBefore = mallinfo2().uordblks;
     Fleet fleet(hosts, 1);
     const double joined = secondsUntil(fleet, [&] { return fleet.everyViewIs(fleet.running()); });
-    fleet.run(10s);
+    fleet.run(hosts > 100 ? 45s : 10s); // the news of the start has died down
     const double steady = bytesASecond(fleet, 5s);
     const std::size_t memory = (mallinfo2().uordblks - memoryBefore) / hosts;
     const double spread = secondsToSpread(fleet, 1);
