--- a/src/arbiter/arbiterimpl.h
+++ b/src/arbiter/arbiterimpl.h
@@ -439,10 +439,11 @@
     const QueuedTicket &next = *m_order.nextInTurn()->queued;
     const Permit *victim = m_permits.bestVictim();
     const bool urgent = next.due - now <= m_options.preemptionSlack;
-    if (!victim || !urgent || !next.tier.isHigherThan(victim->tier) || m_pool.freePlaces(now) > 0) {
+    if (!victim || !urgent || m_pool.freePlaces(now) > 0) {
         return;
     }
-    // One order for each request that waits above the victim; the freed places come with the releases.
+    // One order for each request that waits above the victim, so none when all wait in its tier or below; the freed
+    // places come with the releases.
     if (m_permits.preempted() + m_owedInTurn < m_order.queue().sizeAbove(victim->tier)) {
         send(victim->ticket.entry, Preemption{victim->ticket.id});
         ++m_counters.preemptions;
