--- a/src/arbiter/arbiter_test.cpp
+++ b/src/arbiter/arbiter_test.cpp
@@ -466,6 +466,26 @@
     REQUIRE(shard.told() == "+tagging");
 }
 
+TEST_CASE("a due class whose request fits nowhere does not hold up a higher one", "[tier-order]")
+{
+    Shard shard(presetOf({classRule("query", 0), classRule("tagging", 1, 0.5)}));
+    shard.pool.largestPrompt = 1000;
+    shard.ticket(ticketOf("q0", "query"));
+    Ticket tagging = ticketOf("tagging", "tagging");
+    tagging.promptTokens = 2000;
+    shard.ticket(tagging);
+    for (const char *request : {"q1", "q2", "q3", "q4"}) {
+        shard.ticket(ticketOf(request, "query"));
+    }
+    for (const char *request : {"q0", "q1", "q2", "q3"}) {
+        shard.release(request);
+    }
+    REQUIRE(shard.told() == "+q0 +q1 +q2 +q3 +q4");
+    shard.pool.largestPrompt = 2000;
+    shard.release("q4");
+    REQUIRE(shard.told() == "+tagging");
+}
+
 TEST_CASE("fifo grants by arrival and sheds the newest")
 {
     ArbiterOptions options;
--- a/src/arbiter/arbiterimpl.h
+++ b/src/arbiter/arbiterimpl.h
@@ -415,7 +415,8 @@
 void Arbiter<Pool>::refuseIfHopeless(TimePoint now, const AttemptId &id)
 {
     const QueuedTicket *queued = m_order.queue().find(id);
-    if (queued && isHopeless(now, *queued, m_order.grantsUntil(*queued))) {
+    // The first check costs nothing and settles all but a long queue.
+    if (queued && isHopeless(now, *queued, m_order.queue().size()) && isHopeless(now, *queued, m_order.grantsUntil(*queued))) {
         ++m_counters.hopelessByTier[queued->tier];
         refuse(now, *m_order.take(id), RefusalReason::Hopeless);
     }
--- a/src/arbiter/arbitermeasure_test.cpp
+++ b/src/arbiter/arbitermeasure_test.cpp
@@ -11,6 +11,45 @@
 
 using namespace Rhubarbwind;
 
+namespace
+{
+
+/** Costs next to nothing, so that the arbiter's own work is measured. */
+struct CheapEndpoints
+{
+    std::size_t places = 0;
+
+    std::optional<EndpointChoice> choose(TimePoint, const EndpointQuery &)
+    {
+        return places > 0 ? std::optional(EndpointChoice{EndpointId("engine-" + std::to_string(places % 50))}) : std::nullopt;
+    }
+    void reserve(TimePoint, const Reservation &, std::span<const std::uint64_t>)
+    {
+        --places;
+    }
+    void free(TimePoint, const Reservation &, const ServiceSample &)
+    {
+        ++places;
+    }
+    void freeUnused(TimePoint, const Reservation &)
+    {
+        ++places;
+    }
+    void update(TimePoint, std::span<const Endpoint>)
+    {
+    }
+    std::size_t freePlaces(TimePoint)
+    {
+        return places;
+    }
+    bool hasTakers()
+    {
+        return true;
+    }
+};
+
+} // namespace
+
 TEST_CASE("decisions per second with a long queue", "[.measure]")
 {
     constexpr std::size_t queued = 10'000;
@@ -23,9 +62,9 @@
     for (std::size_t i = 0; i < customers; ++i) {
         preset->preset.customers.push_back({CustomerId("customer-" + std::to_string(i)), 1.0 + static_cast<double>(i % 5), ""});
     }
-    CountedEndpoints pool{50, 16};
+    CheapEndpoints pool{50 * 16};
     TimePoint now(1h);
-    TestArbiter arbiter(ShardId("s"), ArbiterOptions(), pool, 1, now);
+    Arbiter<CheapEndpoints> arbiter(ShardId("s"), ArbiterOptions(), pool, 1, now);
     arbiter.applyPreset(now, preset);
     now += 1s; // past the collecting round
     arbiter.tick(now);
