--- a/src/arbiter/grantorder.cpp
+++ b/src/arbiter/grantorder.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
-#include <ranges>
 
 namespace Rhubarbwind
 {
@@ -78,7 +77,7 @@
     return enqueue(std::move(queued));
 }
 
-const QueuedTicket &GrantOrder::enqueue(QueuedTicket queued)
+const QueuedTicket &GrantOrder::enqueue(QueuedTicket &&queued)
 {
     const QueuedTicket &kept = m_queue.add(std::move(queued));
     m_fairness.activate(kept.tier, kept.ticket.customer);
@@ -183,8 +182,8 @@
     if (counted <= m_options.queueBudget) {
         return nullptr;
     }
-    for (const auto &[tier, backlogs] : std::views::reverse(m_queue.tiers())) {
-        if (const QueuedTicket *found = newestOfFattest(backlogs, nullptr)) {
+    for (auto lowest = m_queue.tiers().rbegin(); lowest != m_queue.tiers().rend(); ++lowest) {
+        if (const QueuedTicket *found = newestOfFattest(lowest->second, nullptr)) {
             return found;
         }
     }
--- a/src/arbiter/grantorder.h
+++ b/src/arbiter/grantorder.h
@@ -104,7 +104,7 @@
     bool isShedable(const ClassId &id, const ClassId *only) const;
     std::size_t reserveOf(const ClassId &id) const;
     std::size_t grantsByShare(std::size_t position, const ClassId &id) const;
-    const QueuedTicket &enqueue(QueuedTicket queued);
+    const QueuedTicket &enqueue(QueuedTicket &&queued);
     bool hasWaiting(const ClassId &id) const;
 
     ArbiterOptions m_options;
--- a/src/arbiter/permittable.cpp
+++ b/src/arbiter/permittable.cpp
@@ -5,7 +5,7 @@
 namespace Rhubarbwind
 {
 
-void PermitTable::add(Permit permit)
+void PermitTable::add(Permit &&permit)
 {
     const AttemptId id = permit.ticket.id;
     const auto [found, added] = m_permits.try_emplace(id, std::move(permit));
--- a/src/arbiter/permittable.h
+++ b/src/arbiter/permittable.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -38,7 +39,7 @@
 class PermitTable
 {
 public:
-    void add(Permit permit);
+    void add(Permit &&permit);
     std::optional<Permit> take(const AttemptId &id);
     const Permit *find(const AttemptId &id) const;
 
@@ -69,7 +70,10 @@
         Tier tier;
         TimePoint granted;
         AttemptId id;
-        friend auto operator<=>(const VictimKey &, const VictimKey &) = default;
+        friend bool operator<(const VictimKey &left, const VictimKey &right)
+        {
+            return std::tie(left.tier, left.granted, left.id) < std::tie(right.tier, right.granted, right.id);
+        }
     };
 
     static VictimKey victimKey(const Permit &permit);
