--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -20,7 +20,7 @@
 using Answer = Result<boost::json::value, AdminError>;
 
 constexpr Duration waitPollInterval = 100ms;
-constexpr std::size_t largestPresetFile = 1024 * 1024;
+constexpr std::size_t largestPresetFile = std::size_t{1024} * 1024;
 
 ExitCode report(const CommandContext &context, const AdminError &error)
 {
--- a/src/daemon/hostadmin.cpp
+++ b/src/daemon/hostadmin.cpp
@@ -202,7 +202,7 @@
     return parts.drain.stage() == DrainStage::Serving && parts.presets->ready();
 }
 
-AdminPorts adminPorts(HostParts &parts, HostOrders orders)
+AdminPorts adminPorts(HostParts &parts, const HostOrders &orders)
 {
     AdminPorts ports;
     ports.ready = [&parts] { return hostIsReady(parts); };
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -55,11 +55,11 @@
 
 struct CallerSettings
 {
-    std::size_t headerBytes = 16 * 1024;
-    std::size_t bodyBytes = 1024 * 1024;
+    std::size_t headerBytes = std::size_t{16} * 1024;
+    std::size_t bodyBytes = std::size_t{1024} * 1024;
     std::size_t connections = 4096;
     std::size_t queuedRequests = 2000; ///< requests waiting for a permit on this host, over all classes
-    std::size_t answerBytes = 64 * 1024 * 1024; ///< held answers, for callers that come back
+    std::size_t answerBytes = std::size_t{64} * 1024 * 1024; ///< held answers, for callers that come back
     Duration idleLimit = 60s; ///< a caller's connection without a request
     Duration streamSilenceLimit = 5s; ///< an endpoint's stream without a byte
     Duration connectLimit = 1s;
