Tell a permit that was granted while a full re-send was due

Cause: the property over lossy links found a permit that no arbiter knew: its grant came in the answer that also showed a gap, so its ticket was on the list to be told again and became moot, and the full re-send that voids the arbiter's memory did not name the permit. Ruled out: the arbiter's memory of ended attempts (changing it did not mend the case). Change: a permit whose ticket was still to be told is told as held.

--- a/src/arbiter/permitdesk.cpp
+++ b/src/arbiter/permitdesk.cpp
@@ -433,6 +433,9 @@
 void PermitDesk::hold(TimePoint now, std::map<AttemptId, Waiting>::iterator waiting, const Grant &grant, const HostId &granter)
 {
     const AttemptId id = grant.id;
+    // A ticket that waits to be told again belongs to a full re-send, which voids what the owner knows: the permit has
+    // to be in it.
+    const bool ownerForgets = waiting->second.listed;
     Held held;
     held.ticket = std::move(waiting->second.ticket);
     held.arrived = waiting->second.arrived;
@@ -445,12 +448,10 @@
     m_share.remove(id);
     m_share.occupy(now, id, grant.endpoint);
     Held &kept = m_held.emplace(id, std::move(held)).first->second;
-    if (granter.empty()) {
-        ++m_counts.localGrants;
+    if (granter.empty() || ownerForgets) {
         listHeld(id, kept);
-    } else {
-        ++m_counts.grants;
     }
+    ++(granter.empty() ? m_counts.localGrants : m_counts.grants);
     m_actions.emplace_back(grant);
 }
 
