--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -164,6 +164,8 @@
     };
 
     MembershipActions takeActions();
+    /** Bits of the number: the rounds in which doubling reaches that many hosts. */
+    static std::size_t log2Ceil(std::size_t count);
     bool active() const
     {
         return m_started && !m_superseded;
