Keep a key usable after not-run, bind it to its content, and bound what callers make a host hold

Cause: a keyed request that its endpoint refused used its key up; a repeat that took the key over was later told the first one's not-run (found by test); the same key with other content joined another order's answer; bodies in arrival had no common budget; a permit could be used after it expired. Change: UnusedClaims with one taker each, a content digest on join, arrivingBytes, expiry checked at the point of no return, a span for accept, refusals counted by type. Ruled out: releasing the claim in the ledger, which has no state for it.

--- a/src/relay/httpserver.cpp
+++ b/src/relay/httpserver.cpp
@@ -143,6 +143,7 @@
     std::set<Connection *> m_connections;
     std::vector<std::function<void()>> m_whenEmpty;
     std::uint16_t m_port = 0;
+    std::size_t m_arrivingBytes = 0; ///< reserved for bodies that are being read
     bool m_draining = false;
     bool m_closed = false;
 };
@@ -164,6 +165,7 @@
 
     ~Connection() override
     {
+        reserve(0);
         m_server->remove(this);
     }
 
@@ -290,19 +292,48 @@
         m_state = State::Reading;
         armTimer(m_server->m_options.requestTimeout);
         const std::shared_ptr<Connection> self = this->shared_from_this();
-        http::async_read(m_socket, m_buffer, *m_parser, [self](error_code error, std::size_t) {
+        http::async_read_header(m_socket, m_buffer, *m_parser, [self](error_code error, std::size_t) {
             if (self->m_state == State::Reading) {
-                self->requestRead(error);
+                self->headerRead(error);
             }
         });
     }
 
+    void headerRead(error_code error)
+    {
+        if (error) {
+            requestRead(error);
+            return;
+        }
+        const HttpServerOptions &options = m_server->m_options;
+        const std::size_t unknown = m_parser->chunked() ? options.bodyBytes : 0;
+        const std::size_t body = m_parser->content_length() ? static_cast<std::size_t>(*m_parser->content_length()) : unknown;
+        if (m_server->m_arrivingBytes + body > options.arrivingBytes) {
+            refuseOverload();
+            return;
+        }
+        reserve(body);
+        const std::shared_ptr<Connection> self = this->shared_from_this();
+        http::async_read(m_socket, m_buffer, *m_parser, [self](error_code readError, std::size_t) {
+            if (self->m_state == State::Reading) {
+                self->requestRead(readError);
+            }
+        });
+    }
+
+    void reserve(std::size_t bytes)
+    {
+        m_server->m_arrivingBytes = m_server->m_arrivingBytes - m_reserved + bytes;
+        m_reserved = bytes;
+    }
+
     void requestRead(error_code error)
     {
         if (error == http::error::end_of_stream || (error && error.category() != http::make_error_code(http::error::bad_method).category())) {
             closeNow();
             return;
         }
+        reserve(0);
         m_timer.cancel();
         m_state = State::Answering;
         m_ended = false;
@@ -468,6 +499,7 @@
     std::string m_chunk; ///< being written
     std::array<char, 4096> m_scratch{};
     std::uint64_t m_answers = 0;
+    std::size_t m_reserved = 0; ///< this connection's part of the server's m_arrivingBytes
     State m_state = State::Idle;
     bool m_writing = false;
     bool m_ended = false;
--- a/src/relay/relay_test.cpp
+++ b/src/relay/relay_test.cpp
@@ -1,5 +1,7 @@
 #include "relay/relaybench_test.h"
 
+#include <rapidcheck/catch.h>
+
 namespace Rhubarbwind::RelayBench
 {
 
@@ -376,6 +378,36 @@
     }
 }
 
+// The customer orders something else under an old key by mistake. It must not get the other order's answer.
+TEST_CASE("A key that was used for another request joins nothing", "[relay][whole-answer][at-most-once]")
+{
+    Bench bench;
+    ScriptedEndpoint engine(bench.io, {whole(1, 2)});
+    bench.endpoints["a"] = engine.port();
+    bench.permits.answers = {grantOf("a")};
+    bench.call(chatText({"quote", true, "Idempotency-Key: k\r\n"}));
+    const std::unique_ptr<Caller> other = bench.call(chatText({"quote", false, "Idempotency-Key: k\r\n"}));
+    CHECK(other->answer().result_int() == 409);
+    CHECK(engine.count("POST") == 1);
+}
+
+// The caller is told "not run" and asks again as it was told, with the same key. The first request had claimed
+// the key before its endpoint refused; nothing ran, so the repeat may run, once.
+TEST_CASE("A key is not used up by a request that did not run", "[relay][at-most-once][truthful-not-run]")
+{
+    Bench bench;
+    ScriptedEndpoint engine(bench.io, {{notStarted("503 Busy")}, whole(1, 2)});
+    bench.endpoints["a"] = engine.port();
+    bench.permits.answers = {grantOf("a")};
+    const std::string text = chatText({"quote", true, "Idempotency-Key: k\r\n"});
+    CHECK(outcomeOf(*bench.call(text)) == "not-run");
+    CHECK(outcomeOf(*bench.call(text)) == "completed");
+    const std::unique_ptr<Caller> third = bench.call(text);
+    CHECK(engine.count("POST") == 2);
+    CHECK(contentOf(third->answer().body()) == "t1t2");
+    CHECK(outcomeOf(*third) == "completed");
+}
+
 // The platform is down. A request with a key cannot be claimed, so it must not run; it waits until its deadline
 // without a permit, and is told truthfully. Requests without a key go on.
 TEST_CASE("Without claims a request with a key does not run and holds no permit", "[relay][at-most-once][truthful-not-run]")
@@ -549,6 +581,80 @@
     CHECK(outcomeOf(*bench.call(chatText({}))) == "completed");
 }
 
+// Somebody else's caller sees its answer fail. Bytes that are no HTTP, or an engine that sends rubbish, end in a
+// typed answer of their own request and change nothing else.
+TEST_CASE("Arbitrary bytes from callers stop nothing", "[relay]")
+{
+    ManualClock::reset();
+    Bench bench;
+    ScriptedEndpoint engine(bench.io, {whole(1, 1)});
+    bench.endpoints["a"] = engine.port();
+    bench.permits.answers = {grantOf("a")};
+    rc::prop("any bytes, or a request that is cut", [&bench] {
+        const std::string request = chatText({});
+        const std::string rubbish = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+        const std::string cut = request.substr(0, *rc::gen::inRange<std::size_t>(0, request.size()));
+        Caller caller(bench.io, bench.relay.port(), *rc::gen::element(rubbish, cut + rubbish, cut));
+        settle(bench.io);
+        caller.hangUp();
+        settle(bench.io);
+        RC_ASSERT(bench.relay.stats().running == 0U);
+        RC_ASSERT(bench.relay.stats().connections == 0U);
+    });
+    CHECK(outcomeOf(*bench.call(chatText({}))) == "completed");
+}
+
+TEST_CASE("Arbitrary bytes from an endpoint end in one typed answer", "[relay][whole-answer]")
+{
+    rc::prop("after any part of a stream", [] {
+        ManualClock::reset();
+        const std::string stream = sseHead() + tokens(1, 3);
+        const std::string rubbish = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+        const std::string sent = stream.substr(0, *rc::gen::inRange<std::size_t>(0, stream.size())) + rubbish;
+        Bench bench;
+        ScriptedEndpoint engine(bench.io, {broken(sent), missing()});
+        bench.endpoints["a"] = engine.port();
+        bench.permits.answers = {grantOf("a")};
+        const std::string classId = *rc::gen::element<std::string>("quick", "quote");
+        const std::unique_ptr<Caller> caller = bench.callAdvancing(chatText({classId, true, ""}), 5s);
+        RC_ASSERT(outcomeOf(*caller) != "completed");
+        RC_ASSERT(outcomeOf(*caller) != "not-run");
+        RC_ASSERT(bench.permits.releases.size() == bench.permits.tickets.size());
+        RC_ASSERT((classId == "quick" || engine.count("POST") == 1));
+    });
+}
+
+// The host runs out of memory. A caller stops reading while its engine goes on; the engine is read no further
+// once the caller's backlog is full, and the caller still gets every token when it reads again.
+TEST_CASE("A caller that stops reading holds its engine back and loses nothing", "[relay][whole-answer]")
+{
+    ManualClock::reset();
+    RelayOptions options;
+    options.unsentBytes = std::size_t{64} * 1024;
+    options.answer.maxBytes = std::size_t{256} * 1024;
+    constexpr unsigned events = 8000;
+    const std::string padding(2000, 'x');
+    std::string stream = sseHead();
+    for (unsigned offset = 1; offset <= events; ++offset) {
+        stream += "id: " + std::to_string(offset) + "\ndata: {\"content\":\"" + padding + "\"}\n\n";
+    }
+    Bench bench(options);
+    ScriptedEndpoint engine(bench.io, {{stream + doneEvent()}});
+    bench.endpoints["a"] = engine.port();
+    bench.permits.answers = {grantOf("a")};
+    Caller caller(bench.io, bench.relay.port(), chatText({}), false);
+    runUntil(bench.io, [&] { return bench.relay.stats().memoryBytes > 0; });
+    for (int round = 0; round < 20; ++round) {
+        settle(bench.io);
+    }
+    CHECK(bench.relay.stats().running == 1);
+    CHECK(bench.relay.stats().memoryBytes < std::size_t{300} * 1024);
+    caller.startReading();
+    runUntil(bench.io, [&] { return caller.closed(); });
+    CHECK(contentOf(caller.answer().body()).size() == std::size_t{events} * padding.size());
+    CHECK(outcomeOf(caller) == "completed");
+}
+
 TEST_CASE("A host over its budget refuses at once", "[relay]")
 {
     RelayOptions options;
@@ -562,6 +668,20 @@
     CHECK(caller->header("Retry-After") == "1");
 }
 
+TEST_CASE("Bodies in arrival are bounded over all connections", "[relay]")
+{
+    RelayOptions options;
+    options.http.arrivingBytes = 1000;
+    Bench bench(options);
+    const std::string classLine = "X-Rhubarbwind-Class: quick\r\n";
+    Caller slow(bench.io, bench.relay.port(), "POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 900\r\n\r\n");
+    settle(bench.io);
+    CHECK(bench.call(httpText("POST /v1/chat/completions", classLine, std::string(200, 'a')))->answer().result_int() == 503);
+    slow.hangUp();
+    settle(bench.io);
+    CHECK(bench.call(httpText("POST /v1/chat/completions", classLine, std::string(200, 'a')))->answer().result_int() == 400);
+}
+
 // A planned stop cuts off a stream, or a request that waits. The listener closes while one streams and one is
 // queued; both must end whole, also when the order to stop comes twice, before the host reports that it is empty.
 TEST_CASE("Drain ends what runs and what waits, then reports once", "[relay][graceful-shutdown]")
@@ -630,7 +750,7 @@
         CHECK(span.traceId == trace);
         hops.push_back(span.hop);
     }
-    CHECK(hops == std::vector<Hop>{Hop::Queue, Hop::Connect, Hop::FirstToken, Hop::Stream, Hop::Answer});
+    CHECK(hops == std::vector<Hop>{Hop::Accept, Hop::Queue, Hop::Connect, Hop::FirstToken, Hop::Stream, Hop::Answer});
 }
 
 TEST_CASE("What the relay does not serve goes to the fallback on the same port", "[relay]")
--- a/src/relay/relaybench_test.h
+++ b/src/relay/relaybench_test.h
@@ -267,13 +267,16 @@
 class Caller
 {
 public:
-    Caller(asio::io_context &io, std::uint16_t port, const std::string &request)
+    Caller(asio::io_context &io, std::uint16_t port, const std::string &request, bool reads = true)
         : m_socket(io)
         , m_request(request)
     {
         m_socket.connect(Tcp::endpoint(asio::ip::make_address("127.0.0.1"), port));
-        asio::write(m_socket, asio::buffer(m_request));
-        read();
+        boost::system::error_code ignored; // the relay may have answered and closed before it read everything
+        asio::write(m_socket, asio::buffer(m_request), ignored);
+        if (reads) {
+            read();
+        }
     }
     ~Caller()
     {
@@ -290,6 +293,10 @@
     {
         return m_raw;
     }
+    void startReading()
+    {
+        read();
+    }
     void hangUp()
     {
         m_socket.close();
@@ -298,6 +305,7 @@
     {
         http::response_parser<http::string_body> parser;
         parser.eager(true);
+        parser.body_limit(boost::none);
         boost::system::error_code error;
         parser.put(asio::buffer(m_raw), error);
         REQUIRE(!error);
--- a/src/relay/relaycall.cpp
+++ b/src/relay/relaycall.cpp
@@ -75,12 +75,13 @@
 RelayCall<ClockType>::RelayCall(std::shared_ptr<RelayContext<ClockType>> context, CallRequest request)
     : m_context(std::move(context))
     , m_request(std::move(request))
-    , m_arrived(ClockType::now())
+    , m_arrived(m_request.received)
     , m_life(rulesOf(m_request, m_context->options, m_context->claimsFailing),
              m_context->retryBudget,
              RetryAccount{m_request.customer, m_request.shard},
              m_arrived + m_request.rule.queueDeadline)
     , m_buffer(m_context->options.answer)
+    , m_claimHolder(m_request.id)
     , m_deadlineTimer(m_context->io)
     , m_delayTimer(m_context->io)
     , m_returnTimer(m_context->io)
@@ -93,11 +94,12 @@
 RelayCall<ClockType>::RelayCall(std::shared_ptr<RelayContext<ClockType>> context, CallRequest request, AdoptedStream stream, StreamOffset after)
     : m_context(std::move(context))
     , m_request(std::move(request))
-    , m_arrived(ClockType::now())
+    , m_arrived(m_request.received)
     , m_life(adoptedRules(m_context->options), m_context->retryBudget, RetryAccount{m_request.customer, m_request.shard}, TimePoint::max())
     , m_buffer(m_context->options.answer, after)
     , m_adopted(std::move(stream))
     , m_adoptedAfter(after)
+    , m_claimHolder(m_request.id)
     , m_deadlineTimer(m_context->io)
     , m_delayTimer(m_context->io)
     , m_returnTimer(m_context->io)
@@ -128,6 +130,7 @@
         perform(m_life.adopt(m_adopted->attempt, m_adopted->endpoint, m_adoptedAfter));
         return;
     }
+    recordSpan(Hop::Accept, m_request.received, {{"customer", m_request.customer.text()}, {"class", m_request.rule.name.text()}});
     armDeadline();
     perform(m_life.start(m_arrived));
 }
@@ -234,18 +237,36 @@
         self->recordSpan(Hop::Claim, self->m_stepStarted, {{"verdict", std::to_string(static_cast<int>(answer.verdict))}});
         self->m_stepStarted = ClockType::now();
         self->m_context->claimsFailing = answer.verdict == ClaimVerdict::Unavailable;
-        // An earlier claim of this very request whose answer was lost: it is ours, and nothing was sent under it.
-        if (answer.verdict == ClaimVerdict::Repeated && answer.holder == self->m_request.id) {
+        if (answer.verdict == ClaimVerdict::Repeated && self->takeUnusedClaim(answer.holder)) {
             answer.verdict = ClaimVerdict::Granted;
         }
         self->perform(self->m_life.claimAnswered(answer, ClockType::now()));
     });
 }
 
+// An earlier claim of this very request whose answer was lost, or one of this host under which nothing was run.
+template <Clock ClockType>
+bool RelayCall<ClockType>::takeUnusedClaim(const RequestId &holder)
+{
+    if (holder == m_request.id) {
+        return true;
+    }
+    if (m_life.ended() || !m_context->unusedClaims.take(m_request.claimKey, holder)) {
+        return false;
+    }
+    m_claimHolder = holder;
+    // A later repeat is told of the holder by the ledger; its not-run would be untrue from now on.
+    m_context->onTakeOver(this->shared_from_this(), holder);
+    return true;
+}
+
 template <Clock ClockType>
 void RelayCall<ClockType>::act(const FinishClaim &action)
 {
-    m_context->ports.finishClaim(m_request.claimKey, m_request.id, action.state);
+    if (action.unused) {
+        m_context->unusedClaims.remember(m_request.claimKey, m_claimHolder);
+    }
+    m_context->ports.finishClaim(m_request.claimKey, m_claimHolder, action.state);
 }
 
 template <Clock ClockType>
--- a/src/relay/relaycall.h
+++ b/src/relay/relaycall.h
@@ -13,6 +13,7 @@
 #include "relay/relayoptions.h"
 #include "relay/requestlife.h"
 #include "relay/sseparser.h"
+#include "relay/unusedclaims.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -37,17 +38,20 @@
     RelayOptions options;
     RelayPorts ports;
     EndpointLookup findEndpoint;
-    DrainingHandler onDraining;
+    DrainingHandler onDraining = {};
     Metrics &metrics;
     SpanRing &spans;
     HostId host;
     RetryBudget retryBudget;
     Random random;
+    UnusedClaims unusedClaims = UnusedClaims();
     bool claimsFailing = false;
     std::size_t memoryBytes = 0; ///< held by all calls
-    std::function<void(RelayCall<ClockType> &)> onEnded;
+    std::function<void(RelayCall<ClockType> &)> onEnded = {};
+    /** The call runs under the claim of an earlier request that did not run: whoever finds that one is to find this one. */
+    std::function<void(const std::shared_ptr<RelayCall<ClockType>> &call, const RequestId &holder)> onTakeOver = {};
     /** An earlier request holds the claim: true if its answer is held here and the reader now follows it. */
-    std::function<bool(const RelayCall<ClockType> &repeat, const RequestId &holder)> joinEarlier;
+    std::function<bool(const RelayCall<ClockType> &repeat, const RequestId &holder)> joinEarlier = {};
 };
 
 /** What a caller asked for. */
@@ -62,6 +66,8 @@
     std::string contentType;
     std::string body; ///< of a service call
     ClaimKey claimKey; ///< empty: none
+    std::string contentDigest; ///< of path and body, with a claim key: the same key with other content is another request
+    TimePoint received;
     bool resumable = false; ///< a caller that goes away is awaited
     TraceContext trace;
     std::size_t bytes = 0; ///< that the request holds in memory
@@ -96,6 +102,11 @@
     {
         return m_request;
     }
+    /** The request that holds the claim, as the ledger knows it: this one, or one that it took over from. */
+    const RequestId &claimHolder() const
+    {
+        return m_claimHolder;
+    }
     bool isChat() const
     {
         return m_request.chat.has_value() || m_adopted;
@@ -136,6 +147,7 @@
     void bodyCame(ConnectionNumber connection, std::string_view bytes);
     void eventCame(ConnectionNumber connection, SseEvent event);
     void exchangeEnded(ConnectionNumber connection, ExchangeEnd how);
+    bool takeUnusedClaim(const RequestId &holder);
     void noteToken();
     void accountMemory();
 
@@ -173,6 +185,7 @@
     std::vector<std::shared_ptr<AnswerReader>> m_readers;
     std::optional<AnswerEnd> m_end;
     std::optional<ClaimAnswer> m_earlier;
+    RequestId m_claimHolder;
 
     SessionTimer<ClockType> m_deadlineTimer;
     SessionTimer<ClockType> m_delayTimer;
--- a/src/relay/relaycore.cpp
+++ b/src/relay/relaycore.cpp
@@ -85,20 +85,15 @@
     using Exchange = std::shared_ptr<HttpExchange>;
 
     Impl(RelayDependencies dependencies, RelayOptions options, RelayPorts ports)
-        : m_context(std::make_shared<RelayContext<ClockType>>(RelayContext<ClockType>{dependencies.io,
-                                                                                      options,
-                                                                                      std::move(ports),
-                                                                                      std::move(dependencies.findEndpoint),
-                                                                                      {},
-                                                                                      dependencies.metrics,
-                                                                                      dependencies.spans,
-                                                                                      std::move(dependencies.host),
-                                                                                      RetryBudget(options.retryBudget),
-                                                                                      Random(dependencies.seed),
-                                                                                      false,
-                                                                                      0,
-                                                                                      {},
-                                                                                      {}}))
+        : m_context(std::make_shared<RelayContext<ClockType>>(RelayContext<ClockType>{.io = dependencies.io,
+                                                                                      .options = options,
+                                                                                      .ports = std::move(ports),
+                                                                                      .findEndpoint = std::move(dependencies.findEndpoint),
+                                                                                      .metrics = dependencies.metrics,
+                                                                                      .spans = dependencies.spans,
+                                                                                      .host = std::move(dependencies.host),
+                                                                                      .retryBudget = RetryBudget(options.retryBudget),
+                                                                                      .random = Random(dependencies.seed)}))
         , m_preset(std::move(dependencies.preset))
         , m_sweepTimer(dependencies.io)
     {
@@ -112,6 +107,11 @@
                 self->callEnded(call);
             }
         };
+        m_context->onTakeOver = [weak](const std::shared_ptr<Call> &call, const RequestId &holder) {
+            if (const std::shared_ptr<Impl> self = weak.lock()) {
+                self->m_calls[holder] = call;
+            }
+        };
         m_context->joinEarlier = [weak](const Call &repeat, const RequestId &holder) {
             const std::shared_ptr<Impl> self = weak.lock();
             return self && self->join(repeat, holder);
@@ -148,8 +148,9 @@
         RequestId id;
     };
 
-    static void refuse(const Exchange &exchange, RelayError error, Duration retryAfter = {})
+    void refuse(const Exchange &exchange, RelayError error, Duration retryAfter = {})
     {
+        m_context->metrics.add("rhubarbwind_refused_total", {{"error", std::string(relayErrorInfo(error).type)}});
         exchange->respond(errorResponse(error, Outcome::NotRun, {}, retryAfter));
     }
 
@@ -164,6 +165,7 @@
     void checkEmpty();
 
     std::deque<Held> m_held;
+    TimePoint m_handledAt; ///< when the request in hand came
     SessionTimer<ClockType> m_sweepTimer;
     bool m_sweeping = false;
     std::vector<std::function<void()>> m_whenEmpty;
@@ -172,6 +174,7 @@
 template <Clock ClockType>
 void RelayCore<ClockType>::Impl::handle(HttpRequest request, const Exchange &exchange)
 {
+    m_handledAt = ClockType::now();
     const std::string_view target = targetOf(request);
     if (request.method() == http::verb::post && target == chatPath) {
         handleChat(std::move(request), exchange);
@@ -227,10 +230,12 @@
     call.contentType = std::string(headerOf(request, "Content-Type"));
     if (!rule->idempotent && !key.empty()) {
         call.claimKey = ClaimKey(sha256Hex(call.customer.text() + "\n" + std::string(key)));
+        call.contentDigest = sha256Hex(call.customer.text() + "\n" + std::string(targetOf(request)) + "\n" + request.body());
     }
     call.resumable = headerOf(request, "X-Rhubarbwind-Resumable") == "true";
     call.trace = traceOf(request);
     call.bytes = request.body().size();
+    call.received = m_handledAt;
     return call;
 }
 
@@ -331,6 +336,7 @@
     call.rule.name = ClassId("resumed");
     call.resumable = true;
     call.trace = traceOf(request);
+    call.received = m_handledAt;
     startCall(std::make_shared<Call>(m_context, std::move(call), std::move(*stream), after), exchange, true, after);
 }
 
@@ -338,7 +344,8 @@
 bool RelayCore<ClockType>::Impl::join(const Call &repeat, const RequestId &holder)
 {
     const auto found = m_calls.find(holder);
-    if (found == m_calls.end() || found->second->request().customer != repeat.request().customer || found->second->isChat() != repeat.isChat()) {
+    if (found == m_calls.end() || found->second->request().contentDigest != repeat.request().contentDigest) {
+        // Not held here, or the key was used for something else: that answer is not this request's.
         return false;
     }
     const std::vector<std::shared_ptr<AnswerReader>> readers = repeat.readers();
@@ -353,7 +360,11 @@
 void RelayCore<ClockType>::Impl::callEnded(Call &call)
 {
     --m_running;
-    m_held.push_back({ClockType::now() + m_context->options.holdAnswer, call.request().id});
+    const TimePoint until = ClockType::now() + m_context->options.holdAnswer;
+    m_held.push_back({until, call.request().id});
+    if (call.claimHolder() != call.request().id) {
+        m_held.push_back({until, call.claimHolder()});
+    }
     while (m_held.size() > m_context->options.heldAnswers || (!m_held.empty() && m_context->memoryBytes > m_context->options.memoryBytes / 2)) {
         forgetOldest();
     }
--- a/src/relay/relayparts_test.cpp
+++ b/src/relay/relayparts_test.cpp
@@ -24,10 +24,19 @@
     return events;
 }
 
-// Text of the letters that the format gives a meaning to, so that lines, fields and comments arise often.
+// Pieces that the format gives a meaning to, so that fields, comments and cut lines arise often, and other bytes.
 rc::Gen<std::string> sseLikeText()
 {
-    return rc::gen::container<std::string>(rc::gen::oneOf(rc::gen::elementOf(std::string("\r\n:: dataidevent\r\n\n\n")), rc::gen::arbitrary<char>()));
+    const rc::Gen<std::string> piece =
+        rc::gen::oneOf(rc::gen::element<std::string>("data: a", "data:b", "data", "id: 7", "event: x", ": c", "\n", "\r", "\r\n", "\n\n", "\r\n\r\n"),
+                       rc::gen::container<std::string>(2, rc::gen::arbitrary<char>()));
+    return rc::gen::map(rc::gen::container<std::vector<std::string>>(piece), [](const std::vector<std::string> &pieces) {
+        std::string text;
+        for (const std::string &each : pieces) {
+            text += each;
+        }
+        return text;
+    });
 }
 
 } // namespace
--- a/src/relay/requestlife.cpp
+++ b/src/relay/requestlife.cpp
@@ -119,6 +119,7 @@
     m_permitHeld = true;
     m_endpoint = grant.endpoint;
     m_enginePriority = grant.enginePriority;
+    m_permitExpires = now + grant.expiresIn;
     if (m_rules.claimed && !m_claimGranted) {
         m_state = LifeState::AwaitClaim;
         actions.push_back(MakeClaim{std::min({m_rules.claimUnderPermit, grant.expiresIn, m_queueDeadline - now})});
@@ -143,7 +144,7 @@
     if (m_state != LifeState::AwaitClaim) {
         if (ended() && m_rules.claimed && !m_claimGranted && answer.verdict == ClaimVerdict::Granted) {
             m_claimGranted = true;
-            actions.push_back(FinishClaim{ClaimState::Unknown});
+            actions.push_back(FinishClaim{ClaimState::Unknown, true});
         }
         return actions;
     }
@@ -192,6 +193,12 @@
     if (!isCurrent(connection) || m_state != LifeState::Connecting) {
         return actions;
     }
+    if (now > m_permitExpires) {
+        // The arbiter has given the slot to somebody else by now: sending would overload the endpoint.
+        closeAttempt(ReleaseKind::Unused, actions);
+        askPermit(actions);
+        return actions;
+    }
     m_state = LifeState::Sent;
     m_facts.sent = true;
     m_facts.sentAt = now;
@@ -278,7 +285,7 @@
     m_budget.succeeded(m_account);
     m_state = LifeState::Ended;
     if (m_claimGranted) {
-        actions.push_back(FinishClaim{ClaimState::Completed});
+        actions.push_back(FinishClaim{ClaimState::Completed, false});
     }
     actions.push_back(Answer{Outcome::Completed, RelayError::None, {}, std::nullopt});
     return actions;
@@ -490,7 +497,7 @@
     const Outcome outcome = failureOutcome();
     m_state = LifeState::Ended;
     if (m_claimGranted) {
-        actions.push_back(FinishClaim{claimStateOf(outcome)});
+        actions.push_back(FinishClaim{claimStateOf(outcome), outcome == Outcome::NotRun});
     }
     actions.push_back(Answer{outcome, error, retryAfter, std::nullopt});
 }
--- a/src/relay/requestlife.h
+++ b/src/relay/requestlife.h
@@ -19,7 +19,7 @@
 //   - NotRun is answered only if no byte was handed over, or each endpoint that got one confirmed that it
 //     did not start;
 //   - Completed is answered only after the end of a stream that began at its start and had no gap;
-//   - every granted permit is released exactly once, late grants included;
+//   - every granted permit is released exactly once, late grants included, and none is used after it expired;
 //   - after something was delivered, another run starts only where the class is declared reproducible.
 // Events name the connection they came over (its number is in the action that opened it); those of an
 // earlier connection are ignored, so a late answer of an earlier attempt reaches nobody.
@@ -89,6 +89,7 @@
 struct FinishClaim
 {
     ClaimState state = ClaimState::Unknown;
+    bool unused = false; ///< nothing was run under the claim
 };
 /** Open a new connection and send the request. */
 struct Dispatch
@@ -244,6 +245,7 @@
     bool m_permitHeld = false;
     EndpointId m_endpoint; ///< of the attempt in hand
     std::int32_t m_enginePriority = 0;
+    TimePoint m_permitExpires; ///< no byte of the attempt in hand goes out after it
     AttemptFacts m_facts;
     std::vector<EndpointId> m_avoid;
     bool m_claimGranted = false;
--- a/src/relay/requestlife_test.cpp
+++ b/src/relay/requestlife_test.cpp
@@ -44,6 +44,7 @@
     std::set<std::uint32_t> sent;
     std::set<std::uint32_t> confirmedNotStarted;
     std::set<std::uint32_t> granted;
+    std::map<std::uint32_t, TimePoint> expires;
     std::multiset<std::uint32_t> released;
     std::map<std::uint32_t, StreamOffset> offsets; ///< by attempt, without gap
     std::set<std::uint32_t> wholeEnds; ///< attempts whose end came
@@ -86,8 +87,11 @@
         switch (kind) {
         case 0:
             if (attempt >= 1) {
-                m_world.granted.insert(attempt);
-                take(m_life.granted(Grant{id, engineA, 0, 1, 5s}, m_now));
+                const Duration lifetime = event.connectionBack > 0 ? 5ms : 5s; // a short one expires before the next event
+                if (m_world.granted.insert(attempt).second) {
+                    m_world.expires[attempt] = m_now + lifetime;
+                }
+                take(m_life.granted(Grant{id, engineA, 0, 1, lifetime}, m_now));
             }
             break;
         case 1:
@@ -107,10 +111,10 @@
             take(m_life.connectFailed(connection));
             break;
         case 6:
-            if (live && m_life.state() == LifeState::Connecting) {
-                m_world.sent.insert(attemptHere);
-            }
             take(m_life.firstByteWritten(connection, m_now));
+            if (live && m_life.state() == LifeState::Sent && m_world.sent.insert(attemptHere).second) {
+                RC_ASSERT(m_now <= m_world.expires[attemptHere]);
+            }
             break;
         case 7:
             if (live && m_life.state() == LifeState::Sent) {
