--- a/src/ledger/ledgerwriter.h
+++ b/src/ledger/ledgerwriter.h
@@ -28,7 +28,8 @@
 // must be answered by exactly one of the ...Done or ...Failed functions.
 //
 // Cost: a map operation a record; memory about 400 bytes a key held and 300 bytes a claim queued.
-// Limits: keyLimit keys (further claims are answered Unavailable) and queueLimit claims and ends. A key is
+// Limits: keyLimit keys (further claims are answered Unavailable) and queueLimit claims and ends. A new writer lists the whole log of
+// the retention time in one call, which must fit the object client's maxAnswerBytes (32 MB). A key is
 // protected for `retention` after its claim: repeats that come later, and requests that run longer, are not. A steady clock
 // that stands still for retention/2 while a call is under way (a suspended machine) defeats the clean-up's fence.
 
@@ -47,10 +48,10 @@
     std::size_t batchRecords = 500; ///< most records in a segment; 1: one object a claim
     std::size_t batchBytes = 256 * 1024; ///< most text in a segment, well under the platform's 1 MB a value
     std::size_t queueLimit = 10'000; ///< most claims waiting, and most ends waiting
-    std::size_t keyLimit = 200'000; ///< most keys held
+    std::size_t keyLimit = 60'000; ///< most keys held; about 400 bytes each in the log, which a new writer lists whole
     Duration retention = 1h; ///< how long a key stays taken after its claim
     Duration endDelay = 200ms; ///< longest that an end waits for claims to ride along with
-    Duration appendInterval = 0ms; ///< least time between appends; keeps many shards within the platform's writes
+    Duration appendInterval = 20ms; ///< least time between appends: four shards stay within 200 writes a second, for at most 20 ms more
     Duration retryFirst = 20ms; ///< first ceiling of the back-off after a failed call
     Duration retryMost = 2s; ///< largest ceiling
 };
