--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -37,7 +37,7 @@
     std::array<char, longestLine> line{};
     std::snprintf(line.data(),
                   line.size(),
-                  "%-20s %4s %6llu %7.3f %6llu %7llu %6llu %5llu %7.0f %7.0f %7.0f %8.1f %8.1f %8.1f %6.2f%% %5llu %4llu %5llu\n",
+                  "%-20s %4s %6llu %7.3f %6llu %7llu %6llu %5llu %5llu %5llu %7.0f %7.0f %7.0f %7.1f %7.1f %8.1f %8.1f %8.1f %6.2f%% %5llu %4llu %5llu\n",
                   tally.name.c_str(),
                   tier.c_str(),
                   static_cast<unsigned long long>(tally.sent),
@@ -46,9 +46,13 @@
                   static_cast<unsigned long long>(tally.count(CallerOutcome::NotRun)),
                   static_cast<unsigned long long>(notWhole(tally)),
                   static_cast<unsigned long long>(tally.count(CallerOutcome::Left)),
-                  milliseconds(tally.firstTokenQuantile(0.5)),
-                  milliseconds(tally.firstTokenQuantile(0.95)),
-                  milliseconds(tally.firstTokenQuantile(0.99)),
+                  static_cast<unsigned long long>(tally.lateFirst),
+                  static_cast<unsigned long long>(tally.slowTokens),
+                  milliseconds(quantileOf(tally.firstTokens, 0.5)),
+                  milliseconds(quantileOf(tally.firstTokens, 0.95)),
+                  milliseconds(quantileOf(tally.firstTokens, 0.99)),
+                  milliseconds(quantileOf(tally.interTokens, 0.5)),
+                  milliseconds(quantileOf(tally.interTokens, 0.95)),
                   perSecond(tally.askedTokens, elapsed),
                   perSecond(tally.goodTokens, elapsed),
                   perSecond(tally.deliveredTokens, elapsed),
@@ -130,7 +134,8 @@
 void printTable(std::ostream &out, const std::string &label, const Tally &tally, const LoadRunReport &run, const std::vector<BrokenPromise> &broken)
 {
     out << "== " << label << "\n"
-        << "class                tier   sent  attain  whole not-run broken  left  ttft50  ttft95  ttft99  asked/s   good/s  deliv/s  wasted  wrong twice "
+        << "class                tier   sent  attain  whole not-run broken  left  late  slow  ttft50  ttft95  ttft99   itl50   itl95  asked/s   good/s  "
+           "deliv/s  wasted  wrong twice "
            "notran\n";
     for (const ClassTally &of : tally.classes()) {
         printClass(out, of, std::to_string(of.tier.level), run.elapsed);
@@ -171,10 +176,13 @@
                                        {"attainment", of.attainment()},
                                        {"outcomes", std::move(outcomes)},
                                        {"reasons", std::move(reasons)},
-                                       {"first_token_p50_ms", milliseconds(of.firstTokenQuantile(0.5))},
-                                       {"first_token_p95_ms", milliseconds(of.firstTokenQuantile(0.95))},
-                                       {"first_token_p99_ms", milliseconds(of.firstTokenQuantile(0.99))},
-                                       {"first_token_max_ms", milliseconds(of.firstTokenQuantile(1))},
+                                       {"late_first_token", of.lateFirst},
+                                       {"slow_tokens", of.slowTokens},
+                                       {"inter_token_p95_median_ms", milliseconds(quantileOf(of.interTokens, 0.5))},
+                                       {"first_token_p50_ms", milliseconds(quantileOf(of.firstTokens, 0.5))},
+                                       {"first_token_p95_ms", milliseconds(quantileOf(of.firstTokens, 0.95))},
+                                       {"first_token_p99_ms", milliseconds(quantileOf(of.firstTokens, 0.99))},
+                                       {"first_token_max_ms", milliseconds(quantileOf(of.firstTokens, 1))},
                                        {"asked_per_s", perSecond(of.askedTokens, run.elapsed)},
                                        {"goodput_per_s", perSecond(of.goodTokens, run.elapsed)},
                                        {"delivered_per_s", perSecond(of.deliveredTokens, run.elapsed)},
--- a/src/load/tally.cpp
+++ b/src/load/tally.cpp
@@ -44,12 +44,12 @@
     }
 }
 
-Duration ClassTally::firstTokenQuantile(double quantile) const
+Duration quantileOf(const std::vector<Duration> &sorted, double quantile)
 {
-    if (firstTokens.empty()) {
+    if (sorted.empty()) {
         return {};
     }
-    return firstTokens[static_cast<std::size_t>(quantile * static_cast<double>(firstTokens.size() - 1))];
+    return sorted[static_cast<std::size_t>(quantile * static_cast<double>(sorted.size() - 1))];
 }
 
 Tally::Tally(const Mix &mix)
@@ -79,6 +79,9 @@
         tally.goodTokens += result.tokens;
     }
     if (result.outcome == CallerOutcome::Completed) {
+        tally.lateFirst += result.firstToken > rule.firstTokenTarget ? 1 : 0;
+        tally.slowTokens += result.interTokenP95 > rule.interTokenTarget ? 1 : 0;
+        tally.interTokens.push_back(result.interTokenP95);
         tally.deliveredTokens += result.tokens;
         tally.firstTokens.push_back(result.firstToken);
     }
@@ -98,6 +101,7 @@
 {
     for (ClassTally &tally : m_classes) {
         std::sort(tally.firstTokens.begin(), tally.firstTokens.end());
+        std::sort(tally.interTokens.begin(), tally.interTokens.end());
     }
 }
 
@@ -108,12 +112,15 @@
     for (const ClassTally &tally : m_classes) {
         total.sent += tally.sent;
         total.attained += tally.attained;
+        total.lateFirst += tally.lateFirst;
+        total.slowTokens += tally.slowTokens;
         for (std::size_t outcome = 0; outcome < callerOutcomes; ++outcome) {
             total.outcomes[outcome] += tally.outcomes[outcome];
         }
         for (const auto &[reason, count] : tally.reasons) {
             total.reasons[reason] += count;
         }
+        total.interTokens.insert(total.interTokens.end(), tally.interTokens.begin(), tally.interTokens.end());
         total.firstTokens.insert(total.firstTokens.end(), tally.firstTokens.begin(), tally.firstTokens.end());
         total.askedTokens += tally.askedTokens;
         total.goodTokens += tally.goodTokens;
@@ -125,6 +132,7 @@
         total.notRunThatRan += tally.notRunThatRan;
     }
     std::sort(total.firstTokens.begin(), total.firstTokens.end());
+    std::sort(total.interTokens.begin(), total.interTokens.end());
     return total;
 }
 
--- a/src/load/tally.h
+++ b/src/load/tally.h
@@ -63,9 +63,12 @@
     Tier tier;
     std::uint64_t sent = 0;
     std::uint64_t attained = 0;
+    std::uint64_t lateFirst = 0; ///< whole, but the first token came after its target
+    std::uint64_t slowTokens = 0; ///< whole, but the time between tokens was over its target
     std::array<std::uint64_t, callerOutcomes> outcomes{};
     std::map<std::string, std::uint64_t> reasons;
     std::vector<Duration> firstTokens; ///< sorted by finish()
+    std::vector<Duration> interTokens; ///< each whole answer's 95th percentile; sorted by finish()
     std::uint64_t askedTokens = 0; ///< of all requests sent, had each been answered
     std::uint64_t goodTokens = 0; ///< of answers within their targets
     std::uint64_t deliveredTokens = 0; ///< of whole answers
@@ -89,10 +92,11 @@
         const std::uint64_t received = deliveredTokens + leftTokens;
         return generatedTokens > received ? generatedTokens - received : 0;
     }
-    /** Of firstTokens; zero when there are none. */
-    Duration firstTokenQuantile(double quantile) const;
 };
 
+/** Of sorted values; zero when there are none. */
+Duration quantileOf(const std::vector<Duration> &sorted, double quantile);
+
 class Tally
 {
 public:
