--- a/src/membership/membershipspreading.cpp
+++ b/src/membership/membershipspreading.cpp
@@ -59,7 +59,7 @@
     }
 }
 
-std::vector<ListedHost> Membership::unreachedHosts() const
+std::vector<SeedHost> Membership::unreachedHosts() const
 {
     std::set<PeerAddress, bool (*)(const PeerAddress &, const PeerAddress &)> taken(
         [](const PeerAddress &left, const PeerAddress &right) { return std::tie(left.ip, left.port) < std::tie(right.ip, right.port); });
@@ -68,7 +68,7 @@
             taken.insert(known.member.address);
         }
     }
-    std::vector<ListedHost> unreached;
+    std::vector<SeedHost> unreached;
     for (const auto &[host, known] : m_members) {
         const bool mayReturn = known.member.state == MemberState::Dead && !known.member.leaving;
         if (mayReturn && !taken.contains(known.member.address)) {
@@ -86,11 +86,11 @@
 void Membership::rejoin(TimePoint now)
 {
     m_nextRejoin = now + m_settings.rejoinInterval;
-    std::vector<ListedHost> unreached = unreachedHosts();
+    std::vector<SeedHost> unreached = unreachedHosts();
     std::shuffle(unreached.begin(), unreached.end(), m_random.engine());
     const bool alone = liveCount() == 1;
     unreached.resize(std::min(unreached.size(), alone ? joinFanout : std::size_t(1)));
-    for (const ListedHost &host : unreached) {
+    for (const SeedHost &host : unreached) {
         MembershipMessage ping = message(MembershipMessageKind::Ping);
         ping.target = host.host;
         send(host.address, host.host, std::move(ping));
