Tell the arbiter where entry hosts are and how fast running streams go

Cause: the pool's hop costs and its look at running streams were built and fed by nobody: hosts' failure domains never reached the arbiter, and progress only renewed a permit. Change: domains go from the members to each term; a permit's token counts give a pace once 8 tokens came, told to pools that take it.

--- a/src/arbiter/arbiterhost.h
+++ b/src/arbiter/arbiterhost.h
@@ -85,6 +85,8 @@
     void onPreemption(PreemptionHandler onPreempt);
 
     void setHosts(std::vector<HostId> live);
+    /** The failure domain of each entry host; without one a host's hops cost nothing. */
+    void setDomains(std::map<HostId, FailureDomain> domains);
     void setEndpoints(const ShardId &shard, std::vector<Endpoint> endpoints);
     void setPreset(std::shared_ptr<const PresetInForce> preset);
     void loadReport(const LoadReport &report);
@@ -145,6 +147,7 @@
     PreemptionHandler m_onPreempt;
     std::shared_ptr<const PresetInForce> m_preset;
     HostMemory m_hosts;
+    std::map<HostId, FailureDomain> m_domains;
     std::map<ShardId, Shard> m_shards;
     std::map<HostId, PermitLinkBytes> m_links;
     std::optional<TimePoint> m_armedFor;
--- a/src/arbiter/arbiterhostimpl.h
+++ b/src/arbiter/arbiterhostimpl.h
@@ -131,6 +131,15 @@
     schedulePump();
 }
 
+template <Clock ClockType, PeerTransport Transport, EndpointChooser Pool>
+void ArbiterHost<ClockType, Transport, Pool>::setDomains(std::map<HostId, FailureDomain> domains)
+{
+    m_domains = std::move(domains);
+    for (auto &[id, shard] : m_shards) {
+        shard.term.setDomains(m_domains);
+    }
+}
+
 template <Clock ClockType, PeerTransport Transport, EndpointChooser Pool>
 void ArbiterHost<ClockType, Transport, Pool>::setEndpoints(const ShardId &shardId, std::vector<Endpoint> endpoints)
 {
@@ -226,6 +235,7 @@
         shard.desk.applyPreset(now, m_preset);
         shard.term.applyPreset(now, m_preset);
     }
+    shard.term.setDomains(m_domains);
     Shard &added = m_shards.emplace(id, std::move(shard)).first->second;
     assignOwners(now);
     return added;
--- a/src/arbiter/arbiterhostterm.h
+++ b/src/arbiter/arbiterhostterm.h
@@ -84,6 +84,15 @@
         }
     }
 
+    /** Where the entry hosts are, for the hop cost of each choice. */
+    void setDomains(const std::map<HostId, FailureDomain> &domains)
+    {
+        m_domains = domains;
+        if (m_arbiter) {
+            tellDomains();
+        }
+    }
+
     /** Ownership moved to another host: the arbiter goes, its desks tell everything to the next one. */
     void drop()
     {
@@ -113,6 +122,7 @@
         }
         if (arrival == PermitDeskPeer::Arrival::ApplyAfterForgetting) {
             m_arbiter->hostGone(now, batch.sender);
+            tellDomains(); // a host that is gone is forgotten with its domain
             m_pending.erase(batch.sender);
         }
         apply(now, batch);
@@ -172,6 +182,14 @@
         m_pool->update(now, m_endpoints);
         m_arbiter = std::make_unique<Arbiter<Pool>>(m_shard, m_options, *m_pool, m_epoch, now);
         m_arbiter->applyPreset(now, m_preset);
+        tellDomains();
+    }
+
+    void tellDomains()
+    {
+        for (const auto &[host, domain] : m_domains) {
+            m_arbiter->hostDomain(host, domain);
+        }
     }
 
     void apply(TimePoint now, const PermitRequests &batch)
@@ -272,6 +290,7 @@
     ArbiterOptions m_options;
     Duration m_flushInterval;
     PoolFactory<Pool> m_makePool;
+    std::map<HostId, FailureDomain> m_domains;
     std::shared_ptr<const PresetInForce> m_preset;
     std::vector<Endpoint> m_endpoints;
     Epoch m_epoch = 0;
--- a/src/arbiter/arbiterimpl.h
+++ b/src/arbiter/arbiterimpl.h
@@ -116,7 +116,13 @@
 void Arbiter<Pool>::progress(TimePoint now, const AttemptId &id, std::uint32_t tokens)
 {
     m_now = std::max(m_now, now);
-    m_permits.renew(id, tokens, now + m_options.silentPermitLimit);
+    const std::optional<StreamPace> pace = m_permits.renew(m_now, id, tokens, now + m_options.silentPermitLimit);
+    if constexpr (ObservesPace<Pool>) {
+        // A straggler's long streams release nothing for minutes; their pace shows it in seconds.
+        if (pace) {
+            m_pool.progress(m_now, pace->endpoint, pace->interToken, pace->tokens);
+        }
+    }
 }
 
 template <EndpointChooser Pool>
@@ -138,7 +144,7 @@
         finish(now, unused, Release{id, unused.reservation.endpoint, ReleaseKind::Unused});
         takeHeld(now, held);
     } else {
-        m_permits.renew(id, held.tokensSoFar, now + m_options.silentPermitLimit);
+        m_permits.renew(m_now, id, held.tokensSoFar, now + m_options.silentPermitLimit);
         if (known->preempted) {
             send(held.ticket.entry, Preemption{id});
         }
--- a/src/arbiter/permittable.cpp
+++ b/src/arbiter/permittable.cpp
@@ -32,13 +32,36 @@
     return found == m_permits.end() ? nullptr : &found->second;
 }
 
-void PermitTable::renew(const AttemptId &id, std::uint32_t tokens, TimePoint givenUp)
+std::optional<StreamPace> PermitTable::renew(TimePoint now, const AttemptId &id, std::uint32_t tokens, TimePoint givenUp)
 {
-    change(id, [tokens, givenUp](Permit &permit) {
+    std::optional<StreamPace> pace;
+    change(id, [&](Permit &permit) {
         permit.orphan = false;
         permit.tokens = std::max(permit.tokens, tokens);
         permit.givenUp = std::max(permit.givenUp, givenUp);
+        pace = takePace(now, permit);
     });
+    return pace;
+}
+
+std::optional<StreamPace> PermitTable::takePace(TimePoint now, Permit &permit)
+{
+    if (permit.tokens == 0) {
+        return std::nullopt;
+    }
+    if (!permit.paceSince) {
+        permit.paceSince = now;
+        permit.paceTokens = permit.tokens;
+        return std::nullopt;
+    }
+    const std::uint32_t tokens = permit.tokens - permit.paceTokens;
+    if (tokens < leastPaceTokens) {
+        return std::nullopt;
+    }
+    const StreamPace pace{permit.reservation.endpoint, (now - *permit.paceSince) / tokens, tokens};
+    permit.paceSince = now;
+    permit.paceTokens = permit.tokens;
+    return pace;
 }
 
 void PermitTable::orphan(const AttemptId &id, TimePoint givenUp)
--- a/src/arbiter/permittable.h
+++ b/src/arbiter/permittable.h
@@ -28,6 +28,8 @@
     TimePoint granted;
     TimePoint givenUp; ///< without news by then, the place is taken back
     std::uint32_t tokens = 0; ///< seen so far
+    std::optional<TimePoint> paceSince; ///< when `paceTokens` had been seen; none before the first token
+    std::uint32_t paceTokens = 0;
     double charge = 0; ///< what the customer was charged, in tokens
     bool resent = false; ///< granted by a former arbiter
     bool preemptible = false;
@@ -35,6 +37,17 @@
     bool orphan = false; ///< its host is dead
 };
 
+/** How fast a stream went since it was last looked at. */
+struct StreamPace
+{
+    EndpointId endpoint;
+    Duration interToken{}; ///< mean
+    std::uint32_t tokens = 0; ///< that the mean is over
+};
+
+/** Fewer tokens than this say little of the pace: news of them comes in batches. */
+inline constexpr std::uint32_t leastPaceTokens = 8;
+
 class PermitTable
 {
 public:
@@ -42,8 +55,8 @@
     std::optional<Permit> take(const AttemptId &id);
     const Permit *find(const AttemptId &id) const;
 
-    /** There was a sign of life: the permit belongs to a live host and is kept until `givenUp`. */
-    void renew(const AttemptId &id, std::uint32_t tokens, TimePoint givenUp);
+    /** A sign of life. @return the stream's pace, when enough tokens came since the last one */
+    std::optional<StreamPace> renew(TimePoint now, const AttemptId &id, std::uint32_t tokens, TimePoint givenUp);
     /** Its host is dead: kept until `givenUp`, or less if less was left. */
     void orphan(const AttemptId &id, TimePoint givenUp);
     /** Work under it counts as of this tier from now on, and may be stopped or not. */
@@ -64,6 +77,7 @@
     std::vector<AttemptId> ofHost(const HostId &host) const;
 
 private:
+    static std::optional<StreamPace> takePace(TimePoint now, Permit &permit);
     struct VictimKey
     {
         Tier tier;
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -240,6 +240,21 @@
     return showTable(context, "/admin/explain/" + context.words.front(), columns);
 }
 
+/** One document a line, as collectors read them. */
+ExitCode otlp(const CommandContext &context)
+{
+    const Answer answer = context.client.get("/admin/otlp/" + context.words.front());
+    if (answer.has_error()) {
+        return report(context, answer.error());
+    }
+    if (const boost::json::array *documents = answer.value().if_array()) {
+        for (const boost::json::value &document : *documents) {
+            context.out << boost::json::serialize(document) << '\n';
+        }
+    }
+    return ExitCode::Done;
+}
+
 ExitCode drainHost(const CommandContext &context)
 {
     return showFields(context, context.client.post("/admin/drain/host/" + context.words.front(), {}));
@@ -274,6 +289,7 @@
     Command{"endpoints", "", "endpoints with limits and seen speed", 0, 0, endpoints},
     Command{"customers", "", "customers with weights and use on this host", 0, 0, customers},
     Command{"explain", "REQUEST", "each hop of a request, gathered from all hosts", 1, 1, explain},
+    Command{"otlp", "REQUEST", "a request's spans as OTLP JSON lines", 1, 1, otlp},
     Command{"drain host", "HOST", "planned stop of a host: finish what runs, then exit", 1, 1, drainHost},
     Command{"drain endpoint", "ENDPOINT", "no new work to an endpoint", 1, 1, drainEndpoint},
     Command{"undrain endpoint", "ENDPOINT", "take the order back", 1, 1, undrainEndpoint},
--- a/src/daemon/adminfront.cpp
+++ b/src/daemon/adminfront.cpp
@@ -154,6 +154,9 @@
         case AdminCall::Explain:
             m_ports.explain(RequestId(routed.arguments.front()), reply);
             return;
+        case AdminCall::ExplainOtlp:
+            m_ports.explainOtlp(RequestId(routed.arguments.front()), reply);
+            return;
         case AdminCall::PresetList:
             m_ports.presetList(reply);
             return;
--- a/src/daemon/hostadmin.cpp
+++ b/src/daemon/hostadmin.cpp
@@ -19,11 +19,21 @@
     return adminError(503, "platform-unavailable", "The platform did not answer; ask again later.");
 }
 
+/** A switch tells its version; a preset put into the library has none. */
+AdminAnswer acceptedAnswer(const ChangeResult &result, std::string_view name)
+{
+    boost::json::object body{{"outcome", "accepted"}, {"name", name}};
+    if (result.accepted) {
+        body["version"] = result.accepted->version;
+    }
+    return {200, std::move(body)};
+}
+
 AdminAnswer changeAnswer(const ChangeResult &result, std::string_view name)
 {
     switch (result.outcome) {
     case ChangeOutcome::Accepted:
-        return {200, boost::json::object{{"outcome", "accepted"}, {"name", name}, {"version", result.accepted ? result.accepted->version : 0}}};
+        return acceptedAnswer(result, name);
     case ChangeOutcome::Lost:
         return adminError(409,
                           "lost",
@@ -118,6 +128,13 @@
     return metrics.exposition();
 }
 
+void explainRequest(HostParts &parts, const RequestId &request, boost::json::value (*print)(std::span<const Span>), const AdminReply &reply)
+{
+    parts.explain->ask(request, parts.members.view().aliveHosts(), [print, reply](const std::vector<Span> &spans) {
+        reply(spans.empty() ? adminError(404, "no-such-request", "No live host holds spans of this request.") : AdminAnswer{200, print(spans)});
+    });
+}
+
 void showPreset(HostParts &parts, const PresetName &name, const AdminReply &reply)
 {
     const PresetPointer current = parts.presets->current();
@@ -211,11 +228,8 @@
     ports.hosts = [&parts] { return hostsJson(parts.members.view().self(), parts.members.view().members()); };
     ports.endpoints = [&parts] { return endpointRows(parts); };
     ports.customers = [&parts] { return customerRows(parts); };
-    ports.explain = [&parts](const RequestId &request, const AdminReply &reply) {
-        parts.explain->ask(request, parts.members.view().aliveHosts(), [reply](const std::vector<Span> &spans) {
-            reply(spans.empty() ? adminError(404, "no-such-request", "No live host holds spans of this request.") : AdminAnswer{200, explainJson(spans)});
-        });
-    };
+    ports.explain = [&parts](const RequestId &request, const AdminReply &reply) { explainRequest(parts, request, explainJson, reply); };
+    ports.explainOtlp = [&parts](const RequestId &request, const AdminReply &reply) { explainRequest(parts, request, otlpJson, reply); };
     ports.presetList = [&parts](const AdminReply &reply) {
         parts.presets->list([&parts, reply](const PlatformResult<std::vector<LibraryPreset>> &library) {
             reply(library.has_error() ? platformFailure(library.error()) : AdminAnswer{200, presetListJson(library.value(), parts.presets->current())});
--- a/src/daemon/hostruntime.cpp
+++ b/src/daemon/hostruntime.cpp
@@ -149,12 +149,22 @@
     void viewChanged()
     {
         const std::vector<HostId> live = m_parts.members.view().aliveHosts();
+        m_parts.permits->setDomains(hostDomains());
         m_parts.permits->setHosts(live);
         m_parts.claims->setHosts(live);
         m_parts.presets->setHosts(m_parts.settings.host, livePeers(live));
         pollServedShards();
     }
 
+    std::map<HostId, FailureDomain> hostDomains() const
+    {
+        std::map<HostId, FailureDomain> domains{{m_parts.settings.host, m_parts.settings.domain}};
+        for (const Member &member : m_parts.members.view().members()) {
+            domains.emplace(member.host, member.domain);
+        }
+        return domains;
+    }
+
     std::vector<PresetPeer> livePeers(std::span<const HostId> live) const
     {
         std::vector<PresetPeer> peers;
--- a/src/daemon/statusreport.cpp
+++ b/src/daemon/statusreport.cpp
@@ -150,6 +150,15 @@
     return rows;
 }
 
+boost::json::value otlpJson(std::span<const Span> spans)
+{
+    boost::json::array documents;
+    for (const Span &span : spans) {
+        documents.push_back(boost::json::parse(otlpLine(span)));
+    }
+    return documents;
+}
+
 boost::json::value presetListJson(std::span<const LibraryPreset> library, const PresetPointer &inForce)
 {
     boost::json::array rows;
--- a/src/daemon/statusreport.h
+++ b/src/daemon/statusreport.h
@@ -45,6 +45,8 @@
 /** @param seen what the arbiters on this host know, by endpoint */
 boost::json::value endpointsJson(std::span<const Endpoint> endpoints, const std::map<EndpointId, EndpointStatus> &seen);
 boost::json::value explainJson(std::span<const Span> spans);
+/** One OTLP JSON document a span. */
+boost::json::value otlpJson(std::span<const Span> spans);
 boost::json::value presetListJson(std::span<const LibraryPreset> library, const PresetPointer &inForce);
 boost::json::value historyJson(std::span<const PresetHistoryEntry> history);
 
--- a/src/relay/relaycall.cpp
+++ b/src/relay/relaycall.cpp
@@ -724,6 +724,9 @@
     Labels labels = classLabels();
     labels.emplace_back("outcome", outcome);
     m_context->metrics.add("rhubarbwind_requests_total", labels);
+    const Labels customer{{"customer", m_request.customer.text()}};
+    m_context->metrics.add("rhubarbwind_customer_requests_total", customer);
+    m_context->metrics.add("rhubarbwind_customer_tokens_total", customer, static_cast<double>(m_buffer.last()));
     const bool inTime = m_firstTokenAt && *m_firstTokenAt - m_arrived <= m_request.rule.firstTokenTarget;
     const bool steady = m_lateGaps * 100 <= m_gaps * lateGapsInHundred;
     if (m_end->outcome == Outcome::Completed && inTime && steady && !m_adopted) {
--- a/src/routing/endpointchoice.h
+++ b/src/routing/endpointchoice.h
@@ -75,4 +75,11 @@
         } -> std::same_as<bool>; ///< any endpoint that is not leaving or gone
 };
 
+/** A pool that also learns from streams that still run. */
+template <class T>
+concept ObservesPace = requires(T pool, TimePoint now, const EndpointId &endpoint, Duration interToken, std::uint32_t tokens)
+{
+    pool.progress(now, endpoint, interToken, tokens);
+};
+
 } // namespace Rhubarbwind
