Cap the limit where the engine itself queues

Cause: good token times draw the limit above the slots of an engine with a fixed batch; the surplus waits inside it, out of reach of the order of classes. Ruled out: never going above the slots (an engine that can batch more would stay unused). Change: a full batch with work waiting sets a ceiling, tried again after a thousand samples; a service's success ends its trial; tests of trials. Conclusion: the limit stays at what the engine runs.

--- a/src/routing/adaptivelimit.h
+++ b/src/routing/adaptivelimit.h
@@ -13,7 +13,8 @@
 // the same engine model; docs/MEASUREMENTS.md holds the figures.
 //
 // The first-token time is a second sign: what exceeds the prompt's own prefill was spent waiting inside the
-// engine, where our order of classes has no say. A late first token lowers the limit like a slow token does.
+// engine, where our order of classes has no say. A late first token lowers the limit like a slow token does,
+// and an engine that reports such a queue sets a ceiling.
 // A plain service has no tokens: its limit stays at its slots.
 //
 // Bounds: the limit stays in [1, mostPerSlot x slots]; constant memory and time.
@@ -49,6 +50,7 @@
         : m_options(options)
         , m_slots(std::max<std::uint32_t>(slots, 1))
         , m_limit(m_slots)
+        , m_ceiling(options.mostPerSlot * m_slots)
     {
     }
 
@@ -58,13 +60,21 @@
         const double wanted = sample.batch * std::clamp(room, leastRoom, mostRoom);
         const double goal = room < 1 ? std::min(m_limit, wanted) : std::max(m_limit, wanted);
         m_limit += (goal - m_limit) / std::max(m_limit, slowestStep);
-        m_limit = std::clamp(m_limit, 1.0, m_options.mostPerSlot * m_slots);
+        m_ceiling = std::min(m_ceiling + ceilingGrowth, m_options.mostPerSlot * m_slots);
+        m_limit = std::clamp(m_limit, 1.0, m_ceiling);
     }
 
-    /** The engine reports work waiting inside it: more than it runs, or than its slots, is no use. */
+    /**
+     * The engine reports work waiting inside it while it runs a full batch. More is of no use, however good the
+     * token times are, and waits where our order of classes does not reach; without this, the token times would
+     * draw the limit up again at once. A smaller batch with work waiting is only between two steps.
+     */
     void engineQueues(std::uint32_t running)
     {
-        m_limit = std::min(m_limit, static_cast<double>(std::max(m_slots, running)));
+        if (running >= m_slots) {
+            m_ceiling = std::min(m_ceiling, static_cast<double>(running));
+            m_limit = std::min(m_limit, m_ceiling);
+        }
     }
 
     std::uint32_t limit() const
@@ -78,6 +88,8 @@
     static constexpr double mostRoom = 2.0;
     // At small limits a sample still moves the limit by no more than a quarter of the way.
     static constexpr double slowestStep = 4.0;
+    // A ceiling is tried again by one place after a thousand samples: an engine may have been changed.
+    static constexpr double ceilingGrowth = 0.001;
 
     double interTokenRoom(const LimitSample &sample) const
     {
@@ -98,6 +110,7 @@
     AdaptiveLimitOptions m_options;
     std::uint32_t m_slots;
     double m_limit;
+    double m_ceiling; ///< the batch at which the engine was seen to queue
 };
 
 } // namespace Rhubarbwind
--- a/src/routing/endpointpool.cpp
+++ b/src/routing/endpointpool.cpp
@@ -352,13 +352,14 @@
 
 void EndpointPool::learn(TimePoint now, Member &member, const Reservation &reservation, const ServiceSample &sample, const FinishedWork &work)
 {
-    if (sample.firstToken <= Duration::zero()) {
+    const bool isService = member.endpoint.kind == EndpointKind::Service;
+    if (!isService && sample.firstToken <= Duration::zero()) {
         return; // cancelled before the first token: tells nothing
     }
     if (member.failures.onSuccess(work.start)) {
         member.coldSince = now;
     }
-    if (member.endpoint.kind == EndpointKind::Service) {
+    if (isService) {
         learnSpeed(now, member, m_answerLine, work.meanBatch, sample.firstToken, m_options.speed.serviceGain);
         return;
     }
@@ -368,9 +369,7 @@
     }
     const Duration prefill = fromSeconds(m_prefillLine.slope() * computed);
     member.limit.observe({work.meanBatch, sample.meanInterToken, sample.firstToken - prefill});
-    if (sample.meanInterToken > Duration::zero()) {
-        learnSpeed(now, member, m_tokenLine, work.meanBatch, sample.meanInterToken, tokenGain(sample.tokens));
-    }
+    learnSpeed(now, member, m_tokenLine, work.meanBatch, sample.meanInterToken, tokenGain(sample.tokens));
     learnPrefix(now, member, sample, work);
 }
 
@@ -384,7 +383,7 @@
 {
     m_lastEvent = now;
     Member *member = find(endpoint);
-    if (member == nullptr || member->load.inFlight() == 0 || interToken <= Duration::zero()) {
+    if (member == nullptr || member->load.inFlight() == 0) {
         return;
     }
     learnSpeed(now, *member, m_tokenLine, member->load.inFlight(), interToken, tokenGain(tokens));
@@ -392,6 +391,9 @@
 
 void EndpointPool::learnSpeed(TimePoint now, Member &member, DecayedLine &line, double batch, Duration seen, double gain)
 {
+    if (seen <= Duration::zero()) {
+        return;
+    }
     const double use = batch / slotsOf(member.endpoint);
     if (!member.speed.straggler()) {
         line.observe(use, toSeconds(seen));
--- a/src/routing/endpointpool_test.cpp
+++ b/src/routing/endpointpool_test.cpp
@@ -509,6 +509,34 @@
     REQUIRE(statusOf(pool, now + 12s, idOf(0)).limit >= 8);
 }
 
+// All waiting work lands on a dead endpoint again. First an endpoint crashes and breaks its streams, then a
+// release of a stream that had ended well just before comes in late. It must not pass for a sign of life.
+TEST_CASE("work that began before a crash does not show that the endpoint is back")
+{
+    EndpointPool pool({}, start);
+    pool.update(start, engines(1));
+    for (std::uint32_t i = 0; i < 4; ++i) {
+        pool.reserve(start, {idOf(0), i, 9}, {});
+    }
+    pool.free(start + 5s, {idOf(0), 0, 9}, {0ms, 0ms, 0, 0, true});
+    pool.free(start + 5s, {idOf(0), 1, 9}, {0ms, 0ms, 0, 0, true});
+    pool.free(start + 5s, {idOf(0), 2, 9}, sampleOf(40ms));
+    REQUIRE(statusOf(pool, start + 5s, idOf(0)).obstacle == EndpointObstacle::Failing);
+    pool.freeUnused(start + 5s, {idOf(0), 3, 9});
+    REQUIRE(statusOf(pool, start + 7s, idOf(0)).limit == 1);
+    REQUIRE(statusOf(pool, start + 7s, idOf(0)).obstacle == EndpointObstacle::None);
+}
+
+TEST_CASE("a single failure costs one short wait only")
+{
+    EndpointPool pool({}, start);
+    pool.update(start, engines(1));
+    pool.reserve(start, {idOf(0), 9, 9}, {});
+    pool.free(start + 1s, {idOf(0), 9, 9}, {0ms, 0ms, 0, 0, true});
+    REQUIRE(pool.freePlaces(start + 1s) == 0);
+    REQUIRE(pool.freePlaces(start + 2s) == 8);
+}
+
 TEST_CASE("hop cost decides between equals, not against a long queue")
 {
     EndpointPoolOptions options;
