Poll the platform with small calls where no watch is held

Cause: a whole read of a preset near 1 MB in each 10 s poll is 100 KB/s a host, above the 30 KB/s budget. Ruled out: small polls everywhere: the fleet property found that a change whose event the platform skipped then stays unseen for up to 90 s when its host is gone. Change: hosts without a watch poll with a watch that does not wait and read whole every sixth time; watchers always read whole.

--- a/src/preset/presetservice.h
+++ b/src/preset/presetservice.h
@@ -246,6 +246,9 @@
         case SpreadAction::Kind::ReadPlatform:
             readPlatform();
             return;
+        case SpreadAction::Kind::Peek:
+            peek(action.watchAfter);
+            return;
         case SpreadAction::Kind::AskPeer:
             send(action.peer, MessageKind::PresetFetch, encodePresetFetch({m_holder.version()}));
             return;
@@ -292,6 +295,16 @@
         m_spread.onPlatformRead(absent ? std::optional<ObjectVersion>(0) : std::nullopt, ClockType::now());
     }
 
+    void peek(std::uint64_t after)
+    {
+        m_api.watch(presetInForceKey, after, Duration::zero(), [self = this->shared_from_this()](const PlatformResult<WatchBatch> &result) {
+            if (self->m_started) {
+                self->m_spread.onPeek(result, ClockType::now());
+                self->advance();
+            }
+        });
+    }
+
     void watch(std::uint64_t after)
     {
         m_api.watch(presetInForceKey, after, m_options.spread.watchWait, [self = this->shared_from_this()](const PlatformResult<WatchBatch> &result) {
--- a/src/preset/presetspread.cpp
+++ b/src/preset/presetspread.cpp
@@ -82,14 +82,14 @@
 void PresetSpread::onPlatformRead(std::optional<ObjectVersion> revision, TimePoint now)
 {
     m_reading = false;
-    const bool answeredBefore = std::exchange(m_platformAnswers, revision.has_value());
     if (!revision) {
-        m_readAt = now + m_readBackoff.next(m_random);
-        m_askAt = answeredBefore ? now : m_askAt; // ask a peer in its place, then at its own pace
+        onPlatformSilent(now);
         return;
     }
+    m_platformAnswers = true;
     m_lastContact = std::max(m_lastContact, now);
     m_watchAfter = std::max(m_watchAfter, *revision);
+    m_peeks = 0;
     if (m_readWanted) {
         m_readAt = now;
         return;
@@ -102,6 +102,36 @@
     m_readAt = now + jitteredPoll();
 }
 
+void PresetSpread::onPeek(const PlatformResult<WatchBatch> &result, TimePoint now)
+{
+    m_reading = false;
+    if (result.has_error()) {
+        onPlatformSilent(now);
+        return;
+    }
+    m_platformAnswers = true;
+    m_readBackoff.reset();
+    m_readAt = m_readWanted ? now : now + jitteredPoll();
+    noteWatched(result.value(), now);
+}
+
+void PresetSpread::onPlatformSilent(TimePoint now)
+{
+    const bool answeredBefore = std::exchange(m_platformAnswers, false);
+    m_readAt = now + m_readBackoff.next(m_random);
+    m_askAt = answeredBefore ? now : m_askAt; // ask a peer in its place, then at its own pace
+}
+
+void PresetSpread::noteWatched(const WatchBatch &batch, TimePoint now)
+{
+    m_lastContact = std::max(m_lastContact, now);
+    m_watchAfter = batch.next;
+    if (!batch.events.empty()) {
+        m_readWanted = true;
+        m_readAt = now;
+    }
+}
+
 void PresetSpread::onPeerAnswer(const HostId &host, PresetVersion itsVersion, TimePoint now)
 {
     heard(host, itsVersion, now);
@@ -127,14 +157,9 @@
         m_readAt = std::min(m_readAt, now);
         return;
     }
-    m_lastContact = std::max(m_lastContact, now);
     m_watchBackoff.reset();
     m_watchAt = now;
-    m_watchAfter = result.value().next;
-    if (!result.value().events.empty()) {
-        m_readWanted = true;
-        m_readAt = now;
-    }
+    noteWatched(result.value(), now);
 }
 
 SpreadActions PresetSpread::advance(TimePoint now)
@@ -193,6 +218,12 @@
         return;
     }
     m_reading = true;
+    const bool quietPoll = m_platformAnswers && m_held != 0 && !isBehind() && !m_readWanted;
+    if (quietPoll && !m_isWatcher && m_peeks < m_options.peeksPerRead) {
+        ++m_peeks;
+        actions.push_back({SpreadAction::Kind::Peek, HostId(), m_watchAfter});
+        return;
+    }
     m_readWanted = false;
     actions.push_back({SpreadAction::Kind::ReadPlatform, HostId(), 0});
 }
--- a/src/preset/presetspread.h
+++ b/src/preset/presetspread.h
@@ -7,7 +7,9 @@
 //  - about two hosts a failure domain, by rendezvous hashing, hold a watch on the platform;
 //  - versions ride on membership messages and on announcements: a host that adopts a version tells a few random
 //    peers, and a host that hears of a newer one asks the peer it heard from, else the platform;
-//  - every host reads the platform now and then, at jittered times;
+//  - every host polls the platform now and then, at jittered times: watchers read the object, in case the
+//    platform skipped an event; the others mostly make a watch that does not wait, which costs a few bytes
+//    where the preset may have a megabyte, and read the object every so often;
 //  - a host that cannot reach the platform asks a random peer now and then.
 //
 // Ready means: a preset is held, and the platform or a peer was heard within isolationLimit. A host beyond it
@@ -15,7 +17,7 @@
 // waits, for settleLimit at most, while it knows of a newer version than it could get: in an outage of the
 // platform the first peer it asked may lag. Not longer, since the only holder of that version may be gone.
 //
-// Cost a host: one read in about pollInterval, a watcher one waiting call more; `announceTo` small frames a
+// Cost a host: one small call in about pollInterval, a watcher one waiting call more; `announceTo` small frames a
 // change. Memory: one entry a live host. Driven by events and by advance(), to be called at nextTick().
 
 #include "base/backoff.h"
@@ -45,6 +47,7 @@
 {
     std::size_t watchersPerDomain = 2;
     Duration watchWait = 1500ms; ///< short, so that a silent watch is found out well within the 4 s of a change
+    std::uint32_t peeksPerRead = 5; ///< polls without the content between two with it, where no watch is held
     Duration pollInterval = 10s; ///< mean; each wait is uniform in half to one and a half of it
     Duration peerTimeout = 500ms; ///< an unanswered question counts as lost
     Duration firstRetry = 100ms;
@@ -58,6 +61,7 @@
 {
     enum class Kind : std::uint8_t {
         ReadPlatform, ///< get the object in force; then onPlatformRead
+        Peek, ///< watch it after `watchAfter` without waiting; then onPeek
         AskPeer, ///< then onPeerAnswer, if it answers
         Watch, ///< watch the object in force after `watchAfter`; then onWatch
         Announce, ///< tell `peer` the version held
@@ -81,6 +85,7 @@
     void adopted(PresetVersion version, TimePoint now);
     /** A read ended. @param revision the object's version; nothing when the platform did not answer */
     void onPlatformRead(std::optional<ObjectVersion> revision, TimePoint now);
+    void onPeek(const PlatformResult<WatchBatch> &result, TimePoint now);
     /** A peer sent what it holds. */
     void onPeerAnswer(const HostId &host, PresetVersion itsVersion, TimePoint now);
     void onWatch(const PlatformResult<WatchBatch> &result, TimePoint now);
@@ -99,6 +104,8 @@
 
 private:
     bool isBehind() const;
+    void onPlatformSilent(TimePoint now);
+    void noteWatched(const WatchBatch &batch, TimePoint now);
     void expirePeerQuestion(TimePoint now);
     void advanceRead(TimePoint now, SpreadActions &actions);
     void advancePeer(TimePoint now, SpreadActions &actions);
@@ -119,6 +126,7 @@
     bool m_reading = false;
     bool m_readWanted = false; ///< news came while reading: the answer under way may be older
     TimePoint m_readAt;
+    std::uint32_t m_peeks = 0; ///< since the last whole read
     Backoff m_readBackoff;
     bool m_platformAnswers = true;
 
--- a/src/preset/presetspread_test.cpp
+++ b/src/preset/presetspread_test.cpp
@@ -156,6 +156,37 @@
     CHECK(has(spread.advance(start + 1s), SpreadAction::Kind::ReadPlatform));
 }
 
+// A host finds a change although the platform's events were skipped. The change is made, no watch tells of it, and
+// the small polls, which ask for events, see nothing. A watcher's polls read the object itself, every other
+// host's every so often.
+TEST_CASE("quiet polls are small, and every so often one is whole; a watcher's always are")
+{
+    const bool watcher = GENERATE(false, true);
+    PresetSpread spread = settledHost();
+    std::vector<PresetPeer> live = fleet(9);
+    for (PresetPeer &peer : live) {
+        peer.domain = FailureDomain(watcher ? peer.host.text() : "one");
+    }
+    spread.setHosts(hostName(0), live, start);
+    REQUIRE(spread.isWatcher() == watcher);
+    TimePoint now = start;
+    std::vector<SpreadAction::Kind> polls;
+    while (polls.size() < 12) {
+        now = std::max(now + 1ms, spread.nextTick());
+        for (const SpreadAction &action : spread.advance(now)) {
+            if (action.kind == SpreadAction::Kind::Peek) {
+                polls.push_back(action.kind);
+                spread.onPeek(WatchBatch{{}, 9}, now);
+            } else if (action.kind == SpreadAction::Kind::ReadPlatform) {
+                polls.push_back(action.kind);
+                spread.onPlatformRead(9, now);
+            }
+        }
+    }
+    CHECK(std::ranges::count(polls, SpreadAction::Kind::ReadPlatform) == (watcher ? 12 : 2));
+    CHECK(now - start > 12 * PresetSpreadOptions().pollInterval / 2);
+}
+
 TEST_CASE("a host that hears neither platform nor peers turns not ready, and ready again when it does")
 {
     PresetSpread spread = settledHost();
