Refuse a preset key that stands twice

Cause: the JSON library keeps the last of two equal keys without a word. Change: a pass over the parser's events reports each duplicate by its path. Conclusion: a test with a plain and an escaped duplicate fails without the pass.

--- a/src/preset/presetfleet_test.cpp
+++ b/src/preset/presetfleet_test.cpp
@@ -1,7 +1,7 @@
 // A few hosts' preset cores over a fake store and fake links on virtual time: what holds whatever the order of
 // switches, restarts, cuts and lost answers.
 
-#include "preset/presetfakes.h"
+#include "preset/presetfakes_test.h"
 #include "preset/presetspread.h"
 
 #include <catch2/catch.hpp>
--- a/src/preset/presetjson.cpp
+++ b/src/preset/presetjson.cpp
@@ -8,6 +8,8 @@
 
 #include "preset/presetjson.h"
 
+#include "preset/duplicatekeys.h"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -485,6 +487,9 @@
         faults.add("", cause + " at byte " + std::to_string(used), "one JSON document; comments and trailing commas are allowed");
         return failure(faults.take());
     }
+    for (std::string &path : findDuplicateKeys(text, maxPresetFaults)) {
+        faults.add(std::move(path), "given twice", "each key once");
+    }
     const json::value value = parser.release();
     Document document = read(value, faults);
     if (!faults.empty()) {
--- a/src/preset/presetjson_test.cpp
+++ b/src/preset/presetjson_test.cpp
@@ -152,6 +152,16 @@
     CHECK(parsePreset(R"({"name":"p","classes":[{"name":"a","tier":0,"minimum_share":0.6},{"name":"b","tier":0,"minimum_share":0.5}]})").has_error());
 }
 
+TEST_CASE("a key that stands twice is a fault, though the last one is valid")
+{
+    const Result<Preset, PresetFaults> preset =
+        parsePreset(R"({"name":"p","name":"q","classes":[{"name":"a","tier":0},{"name":"b","tier":0,/* again */"ti\u0065r":1}],"customers":[]})");
+    REQUIRE(preset.has_error());
+    REQUIRE(preset.error().size() == 2);
+    CHECK(preset.error()[0].path == "name");
+    CHECK(preset.error()[1].path == "classes[1].tier");
+}
+
 TEST_CASE("a printed document is read back equal")
 {
     rc::prop("preset", [] {
--- a/src/preset/presetservice_test.cpp
+++ b/src/preset/presetservice_test.cpp
@@ -1,4 +1,4 @@
-#include "preset/presetfakes.h"
+#include "preset/presetfakes_test.h"
 #include "preset/presetservice.h"
 
 #include <boost/asio.hpp>
--- a/src/preset/presetspread_test.cpp
+++ b/src/preset/presetspread_test.cpp
@@ -1,4 +1,4 @@
-#include "preset/presetfakes.h"
+#include "preset/presetfakes_test.h"
 #include "preset/presetframes.h"
 #include "preset/presetspread.h"
 
--- a/src/preset/presetswitch_test.cpp
+++ b/src/preset/presetswitch_test.cpp
@@ -1,4 +1,4 @@
-#include "preset/presetfakes.h"
+#include "preset/presetfakes_test.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
