Measure the spread of a switch by fleet size on virtual time

Cause: the time from accepted to everywhere must stay under 4 s at the design size. Change: a hidden measure runs the preset cores at 9, 32, 96 and 370 hosts; preset_test '[.measure]' prints it. Membership is modelled as one random peer's version each 500 ms a host; steps are 50 ms.

--- a/src/preset/presetfleet_test.cpp
+++ b/src/preset/presetfleet_test.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iostream>
 #include <optional>
 #include <set>
 
@@ -18,15 +19,15 @@
 namespace
 {
 
-constexpr std::size_t fleetSize = 6;
+constexpr std::size_t smallFleet = 6;
 constexpr Duration tick = 50ms;
 constexpr Duration watchGrace = 1s;
 constexpr Duration gossipInterval = 500ms; ///< how often a host hears of a random other's version by membership
 
-std::vector<PresetPeer> fleet()
+std::vector<PresetPeer> peersOf(std::size_t size)
 {
     std::vector<PresetPeer> peers;
-    for (std::size_t i = 0; i < fleetSize; ++i) {
+    for (std::size_t i = 0; i < size; ++i) {
         peers.push_back({HostId("h" + std::to_string(i)), FailureDomain("d" + std::to_string(i % 3))});
     }
     return peers;
@@ -34,7 +35,7 @@
 
 std::size_t indexOf(const HostId &host)
 {
-    return static_cast<std::size_t>(host.text().back() - '0');
+    return std::stoul(host.text().substr(1));
 }
 
 struct WaitingWatch
@@ -46,11 +47,11 @@
 
 struct Host
 {
-    Host(std::size_t index, std::uint64_t seed, TimePoint now)
+    Host(std::size_t index, std::size_t fleetSize, std::uint64_t seed, TimePoint now)
         : spread({}, seed, now)
         , index(index)
     {
-        spread.setHosts(HostId("h" + std::to_string(index)), fleet(), now);
+        spread.setHosts(HostId("h" + std::to_string(index)), peersOf(fleetSize), now);
     }
 
     PresetHolder holder;
@@ -74,11 +75,11 @@
 class Fleet
 {
 public:
-    explicit Fleet(std::uint64_t seed)
+    explicit Fleet(std::uint64_t seed, std::size_t size = smallFleet)
         : m_random(seed)
     {
-        for (std::size_t i = 0; i < fleetSize; ++i) {
-            m_hosts.emplace_back(i, seed + i, m_now);
+        for (std::size_t i = 0; i < size; ++i) {
+            m_hosts.emplace_back(i, size, seed + i, m_now);
         }
     }
 
@@ -94,7 +95,7 @@
     void restart(std::size_t index)
     {
         const std::uint64_t life = m_hosts[index].life + 1;
-        m_hosts[index] = Host(index, m_random.engine()(), m_now);
+        m_hosts[index] = Host(index, m_hosts.size(), m_random.engine()(), m_now);
         m_hosts[index].life = life;
     }
 
@@ -145,6 +146,13 @@
         return m_switches;
     }
 
+    TimePoint now() const
+    {
+        return m_now;
+    }
+
+    std::uint64_t platformCalls = 0;
+    std::uint64_t frames = 0;
     FakeStore store = storeWith({"ordinary"});
     std::set<OperationId> applied; ///< operations that were in force in the store
     bool fell = false; ///< some host's version went down
@@ -186,7 +194,7 @@
             return;
         }
         for (Host &host : m_hosts) {
-            const std::size_t other = m_random.below(fleetSize);
+            const std::size_t other = m_random.below(m_hosts.size());
             if (linked(host.index, other) && !lost()) {
                 host.spread.heard(peerName(other), m_hosts[other].holder.version(), m_now);
             }
@@ -211,6 +219,8 @@
 
     void carryOut(Host &host, const SpreadAction &action)
     {
+        const bool frame = action.kind == SpreadAction::Kind::AskPeer || action.kind == SpreadAction::Kind::Announce;
+        (frame ? frames : platformCalls) += 1;
         switch (action.kind) {
         case SpreadAction::Kind::ReadPlatform:
             readPlatform(host);
@@ -343,7 +353,7 @@
 /** One arbitrary event of the outside, then some time. */
 void disturb(Fleet &fleet)
 {
-    const std::size_t host = *rc::gen::inRange<std::size_t>(0, fleetSize);
+    const std::size_t host = *rc::gen::inRange<std::size_t>(0, smallFleet);
     switch (*rc::gen::inRange(0, 10)) {
     case 0:
     case 1:
@@ -443,3 +453,37 @@
         CHECK((fleet.converged() || (fault == 3 && !someHostKnows)));
     }
 }
+
+// Figures, not a check: virtual time from the acceptance of a switch until every host holds it, in steps of 50 ms.
+TEST_CASE("time from accepted to everywhere, by fleet size and fault", "[.measure]")
+{
+    const std::size_t size = GENERATE(9, 32, 96, 370);
+    const int fault = GENERATE(0, 1, 2);
+    constexpr const char *names[] = {"none", "silent watches", "0.2 of calls and frames lost"};
+    constexpr int switches = 20;
+    Fleet fleet(size, size);
+    fleet.startSwitch(0);
+    fleet.passFor(30s);
+    fleet.silentWatches = fault == 1;
+    fleet.loss = fault == 2 ? 0.2 : 0.0;
+    std::vector<double> seconds;
+    const std::uint64_t callsBefore = fleet.platformCalls;
+    const TimePoint begin = fleet.now();
+    for (int i = 0; i < switches; ++i) {
+        fleet.passFor(10s);
+        const PresetVersion before = fleet.store.inForce().version;
+        fleet.startSwitch(fleet.now().time_since_epoch().count() % 7);
+        while (fleet.store.inForce().version == before) {
+            fleet.pass();
+        }
+        const TimePoint accepted = fleet.now();
+        while (!fleet.converged()) {
+            fleet.pass();
+        }
+        seconds.push_back(toSeconds(fleet.now() - accepted));
+    }
+    std::ranges::sort(seconds);
+    const double calls = static_cast<double>(fleet.platformCalls - callsBefore) / toSeconds(fleet.now() - begin);
+    std::cout << size << " hosts, fault: " << names[fault] << ": p50 " << seconds[seconds.size() / 2] << " s, max " << seconds.back() << " s over " << switches
+              << " switches; platform calls a second in all " << calls << "\n";
+}
