Withdraw what a host that was cut off made of its peers' silence

Ruled out: a longer grace; it only moves the window. Change: suspicions start anew after a silence, and a host that learns of its own death drops its accusations.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -77,6 +77,9 @@
     if (!active() || message.sender.host == m_self.host) {
         return {};
     }
+    if (now - m_lastHeard > stallPeriods * m_settings.period) {
+        restartSuspicions(now); // Refutations could not arrive meanwhile, so that time does not count.
+    }
     m_lastHeard = now;
     hearMember(now, message.sender);
     const auto sender = m_members.find(message.sender.host);
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -164,6 +164,8 @@
     };
 
     MembershipActions takeActions();
+    /** Ticks this many periods late mean that the process stood still; so long without a datagram, that it may be deaf. */
+    static constexpr int stallPeriods = 2;
     /** Bits of the number: the rounds in which doubling reaches that many hosts. */
     static std::size_t log2Ceil(std::size_t count);
     bool active() const
@@ -189,6 +191,8 @@
 
     // Probing.
     void noteStall(TimePoint now);
+    void restartSuspicions(TimePoint now);
+    void withdrawAccusations();
     void finishProbe(TimePoint now);
     void askOthers(const Probe &probe);
     void startProbe(TimePoint now);
--- a/src/membership/membership_test.cpp
+++ b/src/membership/membership_test.cpp
@@ -209,6 +209,30 @@
     }
 }
 
+// Callers of every host would see duties flap: a host cut off for some seconds takes its peers for dead one by one,
+// and on its return spreads that news, each telling of which kills a live host for as long as its refutation takes.
+// Its peers hold it dead and listen to none of it; once it has refuted, it has dropped what it would have said.
+TEST_CASE("a host that was cut off for a while kills nobody on its return")
+{
+    for (int seed = 1; seed <= 60; ++seed) {
+        Fleet fleet(9, static_cast<std::uint64_t>(seed));
+        converge(fleet);
+        fleet.cut = [](std::size_t from, std::size_t to) { return from == 0 || to == 0; };
+        fleet.run(3s + seed * 300ms);
+        fleet.cut = [](std::size_t, std::size_t) { return false; };
+        converge(fleet);
+        fleet.run(10s);
+        std::size_t falseDeaths = 0;
+        for (std::size_t viewer = 1; viewer < 9; ++viewer) {
+            for (std::size_t other = 1; other < 9; ++other) {
+                falseDeaths += everDead(*fleet.nodes[viewer], HostId("host-" + std::to_string(other))) ? 1 : 0;
+            }
+        }
+        CAPTURE(seed);
+        CHECK(falseDeaths == 0);
+    }
+}
+
 // The woken host's callers would see its duties jump: while it was frozen every deadline ran out, so on waking it
 // would hold all peers dead at once and serve every duty itself. It has to let its peers answer first. They hold
 // it dead by then; it learns so from them and refutes.
--- a/src/membership/membershiphearing.cpp
+++ b/src/membership/membershiphearing.cpp
@@ -52,6 +52,11 @@
     const bool sameLife = telling.incarnation.start == m_self.incarnation.start;
     if (sameLife && telling.state != MemberState::Alive && telling.incarnation.refutations >= m_self.incarnation.refutations) {
         m_self.incarnation.refutations = telling.incarnation.refutations + 1;
+        if (telling.state == MemberState::Dead) {
+            // The others heard nothing of this host, so what it made of their silence is worth nothing. Told now,
+            // each accusation would kill a live host for as long as its refutation takes.
+            withdrawAccusations();
+        }
         m_memberNews[m_self.host] = News();
     }
 }
--- a/src/membership/membershipprobing.cpp
+++ b/src/membership/membershipprobing.cpp
@@ -8,14 +8,6 @@
 namespace Rhubarbwind
 {
 
-namespace
-{
-
-// Ticks this many periods late mean that the process stood still.
-constexpr int stallPeriods = 2;
-
-} // namespace
-
 void Membership::noteStall(TimePoint now)
 {
     const Duration gap = now - m_lastTick;
@@ -29,6 +21,11 @@
     m_relays.clear();
     m_lastHeard = std::max(m_lastHeard, now - m_settings.period);
     m_nextPeriod = now + m_settings.period;
+    restartSuspicions(now);
+}
+
+void Membership::restartSuspicions(TimePoint now)
+{
     for (auto &[host, known] : m_members) {
         if (known.suspectUntil) {
             known.suspectUntil = now + suspicionTime();
@@ -36,6 +33,14 @@
     }
 }
 
+void Membership::withdrawAccusations()
+{
+    std::erase_if(m_memberNews, [&](const auto &entry) {
+        const auto known = m_members.find(entry.first);
+        return known != m_members.end() && known->second.member.state != MemberState::Alive;
+    });
+}
+
 void Membership::finishProbe(TimePoint now)
 {
     if (!m_probe) {
