--- a/src/relay/relay_test.cpp
+++ b/src/relay/relay_test.cpp
@@ -1,5 +1,6 @@
 #include "relay/relaybench_test.h"
 
+#include <boost/json.hpp>
 #include <rapidcheck/catch.h>
 
 namespace Rhubarbwind::RelayBench
@@ -59,7 +60,7 @@
 
 std::string outcomeOf(const Caller &caller)
 {
-    const std::string known = caller.header("X-Rhubarbwind-Outcome");
+    std::string known = caller.header("X-Rhubarbwind-Outcome");
     if (!known.empty()) {
         return known;
     }
--- a/src/relay/relaybench_test.h
+++ b/src/relay/relaybench_test.h
@@ -81,8 +81,7 @@
 {
 public:
     ScriptedEndpoint(asio::io_context &io, std::deque<Script> scripts)
-        : m_io(io)
-        , m_acceptor(io, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        : m_acceptor(io, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
         , m_scripts(std::move(scripts))
     {
         accept();
@@ -162,7 +161,6 @@
         return script;
     }
 
-    asio::io_context &m_io;
     Tcp::acceptor m_acceptor;
     std::uint16_t m_port = 0;
     std::deque<Script> m_scripts;
--- a/src/relay/relaycall.cpp
+++ b/src/relay/relaycall.cpp
@@ -169,7 +169,7 @@
     while (!m_actions.empty()) {
         const LifeAction action = std::move(m_actions.front());
         m_actions.pop_front();
-        std::visit([this](const auto &each) { act(each); }, action);
+        std::visit([this](const auto &each) { this->act(each); }, action);
     }
     m_performing = false;
 }
--- a/src/relay/relaycore.cpp
+++ b/src/relay/relaycore.cpp
@@ -348,7 +348,7 @@
         // Not held here, or the key was used for something else: that answer is not this request's.
         return false;
     }
-    const std::vector<std::shared_ptr<AnswerReader>> readers = repeat.readers();
+    const std::vector<std::shared_ptr<AnswerReader>> &readers = repeat.readers();
     bool joined = false;
     for (const std::shared_ptr<AnswerReader> &reader : readers) {
         joined = found->second->addReader(reader->exchange(), reader->isStreaming(), 0) || joined;
@@ -470,15 +470,15 @@
 }
 
 template <Clock ClockType>
-void RelayCore<ClockType>::setFallback(HttpFallback fallback)
+void RelayCore<ClockType>::setFallback(const HttpFallback &fallback)
 {
-    m_impl->m_fallback = std::move(fallback);
+    m_impl->m_fallback = fallback;
 }
 
 template <Clock ClockType>
-void RelayCore<ClockType>::onEndpointDraining(DrainingHandler handler)
+void RelayCore<ClockType>::onEndpointDraining(const DrainingHandler &handler)
 {
-    m_impl->m_context->onDraining = std::move(handler);
+    m_impl->m_context->onDraining = handler;
 }
 
 template <Clock ClockType>
