Find a frozen engine in seconds, not minutes

Cause: a resumed stream's header was awaited as long as a first token (60 s); a frozen engine held its request for minutes.

--- a/src/relay/chatshape.cpp
+++ b/src/relay/chatshape.cpp
@@ -202,6 +202,11 @@
     whole["object"] = "chat.completion";
     json::array &list = whole["choices"].emplace_array();
     for (auto &[index, choice] : choices) {
+        json::value &message = choice["message"];
+        if (!message.is_object()) {
+            message = json::object{};
+        }
+        message.get_object().emplace("role", "assistant"); // engines may leave it out of their chunks
         list.push_back(std::move(choice));
     }
     return json::serialize(whole);
--- a/src/relay/relay_test.cpp
+++ b/src/relay/relay_test.cpp
@@ -72,6 +72,9 @@
     return std::string(data.at("outcome").as_string().c_str());
 }
 
+// Enough for a silence and its resumes.
+constexpr Duration mostVirtualTime = 14s;
+
 void checkRow(const FaultRow &row)
 {
     CAPTURE(row.name);
@@ -86,7 +89,7 @@
         }
     }
     bench.permits.answers = {grantOf("a"), grantOf("b")};
-    const std::unique_ptr<Caller> caller = bench.callAdvancing(chatText({row.classId, row.stream, ""}), 12s);
+    const std::unique_ptr<Caller> caller = bench.callAdvancing(chatText({row.classId, row.stream, ""}), mostVirtualTime);
     CHECK(caller->answer().result_int() == row.status);
     CHECK(outcomeOf(*caller) == row.outcome);
     CHECK(contentOf(caller->answer().body()) == row.content);
@@ -102,6 +105,34 @@
 
 } // namespace
 
+TEST_CASE("A stream goes from the endpoint to its caller, and the arbiter hears how it went", "[relay][whole-answer]")
+{
+    Bench bench;
+    ScriptedEndpoint engine(bench.io, {whole(1, 3)});
+    bench.endpoints["a"] = engine.port();
+    bench.permits.answers = {grantOf("a")};
+    const std::unique_ptr<Caller> caller = bench.call(chatText({}));
+    CHECK(caller->answer().result_int() == 200);
+    CHECK(contentOf(caller->answer().body()) == "t1t2t3");
+    REQUIRE(bench.permits.releases.size() == 1);
+    CHECK(bench.permits.releases[0].kind == ReleaseKind::Completed);
+    CHECK(bench.permits.releases[0].tokens == 3);
+    CHECK(bench.metrics.value("rhubarbwind_requests_total", {{"class", "quick"}, {"outcome", "completed"}}) == 1);
+    CHECK(engine.requests()[0].find("\"priority\":3") != std::string::npos);
+}
+
+TEST_CASE("A caller that asked for no stream gets one whole answer", "[relay][whole-answer]")
+{
+    Bench bench;
+    ScriptedEndpoint engine(bench.io, {whole(1, 3)});
+    bench.endpoints["a"] = engine.port();
+    bench.permits.answers = {grantOf("a")};
+    const std::unique_ptr<Caller> caller = bench.call(chatText({"quick", false, ""}));
+    CHECK(caller->header("X-Rhubarbwind-Outcome") == "completed");
+    CHECK(caller->answer().body().find("\"content\":\"t1t2t3\"") != std::string::npos);
+    CHECK(caller->answer().body().find("\"role\":\"assistant\"") != std::string::npos);
+}
+
 // The caller sees an answer that is cut, doubled or made of two. The endpoint's connection is refused, breaks,
 // falls silent, overlaps or jumps, before or after the first token. The rest of the stream is asked for over a
 // new connection, and only what follows the last offset is taken; a new run starts only while nothing was
@@ -110,6 +141,28 @@
 {
     const std::string head = sseHead();
     const std::vector<FaultRow> rows{
+        {"frozen in mid-stream",
+         "quick",
+         true,
+         {silent(head + tokens(1, 2)), silent("")},
+         {whole(1, 4)},
+         200,
+         "failed-after-start",
+         "endpoint_silent",
+         "t1t2",
+         1,
+         0},
+        {"frozen in mid-stream, nothing delivered yet",
+         "quick",
+         false,
+         {silent(head + tokens(1, 2)), silent("")},
+         {whole(1, 3)},
+         200,
+         "completed",
+         "",
+         "t1t2t3",
+         1,
+         1},
         {"nothing fails", "quick", true, {whole(1, 3)}, {}, 200, "completed", "", "t1t2t3", 1, 0},
         {"connection refused, then another endpoint", "quick", true, {}, {whole(1, 2)}, 200, "completed", "", "t1t2", 0, 1},
         {"broken in mid-stream, resumed", "quick", true, {broken(head + tokens(1, 2)), whole(3, 4)}, {}, 200, "completed", "", "t1t2t3t4", 1, 0},
--- a/src/relay/relaycall.cpp
+++ b/src/relay/relaycall.cpp
@@ -350,7 +350,10 @@
     events.onHeader = [self, connection](const EndpointHeader &header) { self->headerCame(connection, header); };
     events.onBody = [self, connection](std::string_view bytes) { self->bodyCame(connection, bytes); };
     events.onEnd = [self, connection](ExchangeEnd how) { self->exchangeEnded(connection, how); };
-    const ExchangeBounds &bounds = isChat() ? m_context->options.engineBounds : m_context->options.serviceBounds;
+    ExchangeBounds bounds = isChat() ? m_context->options.engineBounds : m_context->options.serviceBounds;
+    if (m_life.state() == LifeState::Resuming) {
+        bounds.firstByte = m_context->options.resumeFirstByte;
+    }
     request.set(http::field::host, location->ip + ":" + std::to_string(location->port));
     m_exchange->start(*location, std::move(request), bounds, std::move(events));
 }
@@ -388,7 +391,9 @@
     events.onEnd = [body, labels, received = action.tokens, context = m_context](ExchangeEnd) {
         context->metrics.add("rhubarbwind_wasted_tokens_total", labels, std::max(received, cancelledTokens(*body)));
     };
-    exchange->start(*location, std::move(cancel), m_context->options.engineBounds, std::move(events));
+    ExchangeBounds bounds = m_context->options.engineBounds;
+    bounds.firstByte = m_context->options.resumeFirstByte;
+    exchange->start(*location, std::move(cancel), bounds, std::move(events));
 }
 
 template <Clock ClockType>
