--- a/src/relay/relaycall.cpp
+++ b/src/relay/relaycall.cpp
@@ -3,7 +3,6 @@
 
 #include "relay/relaycall.h"
 
-#include "base/requestid.h"
 #include "telemetry/log.h"
 
 #include <boost/asio.hpp>
@@ -12,7 +11,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <chrono>
 
 namespace Rhubarbwind
 {
@@ -26,7 +24,6 @@
 constexpr std::uint32_t bytesPerToken = 4; // a common rule of thumb; the arbiter corrects it at release
 constexpr std::uint32_t progressEvery = 16; // tokens; spares the arbiter's link a message for each one
 constexpr std::size_t maxRejectionBytes = std::size_t{64} * 1024;
-constexpr std::uint32_t lateGapsInHundred = 5; // the inter-token target is for the 95th percentile
 constexpr std::uint32_t maxDoublings = 6;
 
 const Log &callLog()
@@ -82,10 +79,10 @@
              m_arrived + m_request.rule.queueDeadline)
     , m_buffer(m_context->options.answer)
     , m_claimHolder(m_request.id)
+    , m_telemetry(m_context->metrics, m_context->spans, m_context->host, m_request.id, m_request.rule, m_request.trace, m_arrived)
     , m_deadlineTimer(m_context->io)
     , m_delayTimer(m_context->io)
     , m_returnTimer(m_context->io)
-    , m_rootSpan(freshSpanId())
     , m_stepStarted(m_arrived)
 {
 }
@@ -100,10 +97,10 @@
     , m_adopted(std::move(stream))
     , m_adoptedAfter(after)
     , m_claimHolder(m_request.id)
+    , m_telemetry(m_context->metrics, m_context->spans, m_context->host, m_request.id, m_request.rule, m_request.trace, m_arrived)
     , m_deadlineTimer(m_context->io)
     , m_delayTimer(m_context->io)
     , m_returnTimer(m_context->io)
-    , m_rootSpan(freshSpanId())
     , m_stepStarted(m_arrived)
 {
 }
@@ -130,7 +127,7 @@
         perform(m_life.adopt(m_adopted->attempt, m_adopted->endpoint, m_adoptedAfter));
         return;
     }
-    recordSpan(Hop::Accept, m_request.received, {{"customer", m_request.customer.text()}, {"class", m_request.rule.name.text()}});
+    m_telemetry.hop(Hop::Accept, m_arrived, ClockType::now(), {{"customer", m_request.customer.text()}, {"class", m_request.rule.name.text()}});
     armDeadline();
     perform(m_life.start(m_arrived));
 }
@@ -182,7 +179,7 @@
         sendTicket(action);
         return;
     }
-    m_context->metrics.add("rhubarbwind_retries_total", classLabels());
+    m_telemetry.count("rhubarbwind_retries_total");
     m_delayTimer.expires_after(delayAfter(m_context->options.retryDelay, action.failures));
     m_delayTimer.async_wait([self = this->shared_from_this(), action](error_code error) {
         const bool current = self->m_life.state() == LifeState::AwaitPermit && self->m_life.attempt() == action.attempt;
@@ -209,17 +206,22 @@
         ticket.prefixDigests = m_context->options.prefixDigests(prompt);
     }
     ticket.avoid = action.avoid;
-    m_context->ports.askPermit(m_request.shard, ticket, [self = this->shared_from_this()](const PermitAnswer &answer) {
-        if (const Grant *grant = std::get_if<Grant>(&answer)) {
-            self->recordSpan(Hop::Queue, self->m_stepStarted, {{"endpoint", grant->endpoint.text()}, {"epoch", std::to_string(grant->epoch)}});
-            self->m_context->metrics.observe("rhubarbwind_queue_wait_seconds", self->classLabels(), toSeconds(ClockType::now() - self->m_stepStarted));
-            self->m_stepStarted = ClockType::now();
-            self->perform(self->m_life.granted(*grant, ClockType::now()));
-        } else {
-            self->recordSpan(Hop::Queue, self->m_stepStarted, {{"refused", std::to_string(static_cast<int>(std::get<Refusal>(answer).reason))}});
-            self->perform(self->m_life.refused(std::get<Refusal>(answer)));
-        }
-    });
+    m_context->ports.askPermit(m_request.shard, ticket, [self = this->shared_from_this()](const PermitAnswer &answer) { self->permitAnswered(answer); });
+}
+
+template <Clock ClockType>
+void RelayCall<ClockType>::permitAnswered(const PermitAnswer &answer)
+{
+    const TimePoint now = ClockType::now();
+    const TimePoint asked = std::exchange(m_stepStarted, now);
+    if (const Refusal *refusal = std::get_if<Refusal>(&answer)) {
+        m_telemetry.hop(Hop::Queue, asked, now, {{"refused", std::to_string(static_cast<int>(refusal->reason))}});
+        perform(m_life.refused(*refusal));
+        return;
+    }
+    const Grant &grant = std::get<Grant>(answer);
+    m_telemetry.queued(asked, now, {{"endpoint", grant.endpoint.text()}, {"epoch", std::to_string(grant.epoch)}});
+    perform(m_life.granted(grant, now));
 }
 
 template <Clock ClockType>
@@ -234,7 +236,7 @@
 {
     m_stepStarted = ClockType::now();
     m_context->ports.claim(m_request.claimKey, m_request.id, action.deadlineIn, [self = this->shared_from_this()](ClaimAnswer answer) {
-        self->recordSpan(Hop::Claim, self->m_stepStarted, {{"verdict", std::to_string(static_cast<int>(answer.verdict))}});
+        self->m_telemetry.hop(Hop::Claim, self->m_stepStarted, ClockType::now(), {{"verdict", std::to_string(static_cast<int>(answer.verdict))}});
         self->m_stepStarted = ClockType::now();
         self->m_context->claimsFailing = answer.verdict == ClaimVerdict::Unavailable;
         if (answer.verdict == ClaimVerdict::Repeated && self->takeUnusedClaim(answer.holder)) {
@@ -292,14 +294,14 @@
         request.body() = m_request.body;
     }
     request.set("X-Request-Id", m_request.id.text() + "." + std::to_string(action.attempt));
-    request.set("traceparent", traceParent({m_request.trace.traceId, m_rootSpan}));
+    request.set("traceparent", m_telemetry.traceHeader());
     return request;
 }
 
 template <Clock ClockType>
 void RelayCall<ClockType>::act(const ResumeStream &action)
 {
-    m_context->metrics.add("rhubarbwind_resumes_total", classLabels());
+    m_telemetry.count("rhubarbwind_resumes_total");
     m_endpoint = action.endpoint;
     if (m_adopted) {
         m_streamLabel = m_adopted->request.text() + "." + std::to_string(m_adopted->attempt) + "@" + action.endpoint.text();
@@ -322,7 +324,7 @@
     const RequestId &request = m_adopted ? m_adopted->request : m_request.id;
     typename Exchange::Request get(http::verb::get, "/v1/streams/" + request.text() + "." + std::to_string(action.attempt), 11);
     get.set("Last-Event-ID", std::to_string(action.after));
-    get.set("traceparent", traceParent({m_request.trace.traceId, m_rootSpan}));
+    get.set("traceparent", m_telemetry.traceHeader());
     m_stepStarted = ClockType::now();
     open(action.connection, action.endpoint, std::move(get));
 }
@@ -342,7 +344,7 @@
     ExchangeEvents events;
     events.onSending = [self, connection] {
         if (self->m_life.state() == LifeState::Connecting) {
-            self->recordSpan(Hop::Connect, self->m_stepStarted, {{"endpoint", self->m_endpoint.text()}});
+            self->m_telemetry.hop(Hop::Connect, self->m_stepStarted, ClockType::now(), {{"endpoint", self->m_endpoint.text()}});
             self->m_sentAt = ClockType::now();
         }
         self->perform(self->m_life.firstByteWritten(connection, ClockType::now()));
@@ -373,7 +375,7 @@
 {
     const std::optional<EndpointLocation> location = m_context->findEndpoint(action.endpoint);
     const RequestId &request = m_adopted ? m_adopted->request : m_request.id;
-    const Labels labels = classLabels();
+    const Labels labels = m_telemetry.classLabels();
     if (!location) {
         m_context->metrics.add("rhubarbwind_wasted_tokens_total", labels, action.tokens);
         return;
@@ -430,7 +432,10 @@
     }
     m_earlier = action.earlier;
     m_end = AnswerEnd{action.outcome, action.error, action.retryAfter};
-    recordAnswer();
+    m_telemetry.ended(ClockType::now(), action.outcome, action.error, isChat() ? m_buffer.last() : 0, !m_adopted);
+    if (action.outcome != Outcome::Completed) {
+        callLog().info("Request ended " + std::string(outcomeName(action.outcome)) + ": " + std::string(relayErrorInfo(action.error).type) + ".", m_request.id);
+    }
     if (m_earlier && m_context->joinEarlier(*this, m_earlier->holder)) {
         m_readers.clear();
     }
@@ -461,7 +466,7 @@
     const bool resuming = m_life.state() == LifeState::Resuming;
     if (header.status == 200) {
         if (resuming) {
-            recordSpan(Hop::Resume, m_stepStarted, {{"endpoint", m_endpoint.text()}});
+            m_telemetry.hop(Hop::Resume, m_stepStarted, ClockType::now(), {{"endpoint", m_endpoint.text()}});
         }
         perform(m_life.answerBegan(connection));
     } else if (resuming) {
@@ -557,18 +562,7 @@
 template <Clock ClockType>
 void RelayCall<ClockType>::noteToken()
 {
-    const TimePoint now = ClockType::now();
-    if (!m_firstTokenAt) {
-        m_firstTokenAt = now;
-        recordSpan(Hop::FirstToken, m_sentAt, {{"endpoint", m_endpoint.text()}});
-        m_context->metrics.observe("rhubarbwind_first_token_seconds", classLabels(), toSeconds(now - m_arrived));
-    } else {
-        const Duration gap = now - m_lastTokenAt;
-        ++m_gaps;
-        m_lateGaps += gap > m_request.rule.interTokenTarget ? 1 : 0;
-        m_context->metrics.observe("rhubarbwind_inter_token_seconds", classLabels(), toSeconds(gap));
-    }
-    m_lastTokenAt = now;
+    m_telemetry.token(m_sentAt, ClockType::now(), m_endpoint);
     if (!m_adopted && m_buffer.last() >= m_lastProgress + progressEvery) {
         m_lastProgress = m_buffer.last();
         m_context->ports.progress(m_request.shard, attemptId(m_life.attempt()), m_lastProgress);
@@ -585,9 +579,7 @@
     } else if (how == ExchangeEnd::Silent) {
         perform(m_life.silent(connection));
     } else if (how == ExchangeEnd::Whole && !isChat()) {
-        if (!m_firstTokenAt) {
-            m_firstTokenAt = ClockType::now();
-        }
+        m_telemetry.wholeBody(ClockType::now());
         perform(m_life.done(connection, 0, 0));
     } else {
         perform(m_life.broken(connection));
@@ -699,46 +691,6 @@
     });
 }
 
-template <Clock ClockType>
-void RelayCall<ClockType>::recordSpan(Hop hop, TimePoint start, std::vector<SpanAttribute> attributes)
-{
-    const Duration duration = ClockType::now() - start;
-    const std::int64_t wallUs = std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-    Span span;
-    span.traceId = m_request.trace.traceId;
-    span.spanId = hop == Hop::Answer ? m_rootSpan : freshSpanId();
-    span.parentSpanId = hop == Hop::Answer ? m_request.trace.parentSpanId : m_rootSpan;
-    span.request = m_request.id;
-    span.host = m_context->host;
-    span.hop = hop;
-    span.startUnixUs = wallUs - toMicroseconds(duration);
-    span.duration = duration;
-    span.attributes = std::move(attributes);
-    m_context->spans.record(std::move(span));
-}
-
-template <Clock ClockType>
-void RelayCall<ClockType>::recordAnswer()
-{
-    const std::string outcome(outcomeName(m_end->outcome));
-    const std::string error(relayErrorInfo(m_end->error).type);
-    if (m_firstTokenAt && isChat()) {
-        recordSpan(Hop::Stream, *m_firstTokenAt, {{"tokens", std::to_string(m_buffer.last())}});
-    }
-    recordSpan(Hop::Answer, m_arrived, {{"class", m_request.rule.name.text()}, {"outcome", outcome}, {"error", error}});
-    Labels labels = classLabels();
-    labels.emplace_back("outcome", outcome);
-    m_context->metrics.add("rhubarbwind_requests_total", labels);
-    const bool inTime = m_firstTokenAt && *m_firstTokenAt - m_arrived <= m_request.rule.firstTokenTarget;
-    const bool steady = m_lateGaps * 100 <= m_gaps * lateGapsInHundred;
-    if (m_end->outcome == Outcome::Completed && inTime && steady && !m_adopted) {
-        m_context->metrics.add("rhubarbwind_target_met_total", classLabels());
-    }
-    if (m_end->outcome != Outcome::Completed) {
-        callLog().info("Request ended " + outcome + ": " + error + ".", m_request.id);
-    }
-}
-
 template <Clock ClockType>
 AttemptId RelayCall<ClockType>::attemptId(std::uint32_t attempt) const
 {
@@ -748,13 +700,7 @@
 template <Clock ClockType>
 AnswerLabels RelayCall<ClockType>::labels() const
 {
-    return {m_request.id, traceParent({m_request.trace.traceId, m_rootSpan}), isChat() ? m_streamLabel : std::string()};
-}
-
-template <Clock ClockType>
-Labels RelayCall<ClockType>::classLabels() const
-{
-    return {{"class", m_request.rule.name.text()}};
+    return {m_request.id, m_telemetry.traceHeader(), isChat() ? m_streamLabel : std::string()};
 }
 
 template <Clock ClockType>
--- a/src/relay/relaycall.h
+++ b/src/relay/relaycall.h
@@ -9,6 +9,7 @@
 #include "base/random.h"
 #include "base/sessiontimer.h"
 #include "relay/answerreader.h"
+#include "relay/calltelemetry.h"
 #include "relay/chatshape.h"
 #include "relay/relayoptions.h"
 #include "relay/requestlife.h"
@@ -138,6 +139,7 @@
     void act(const Answer &action);
 
     void sendTicket(const AskPermit &action);
+    void permitAnswered(const PermitAnswer &answer);
     void openResume(const ResumeStream &action);
     typename Exchange::Request dispatchRequest(const Dispatch &action) const;
     void open(ConnectionNumber connection, const EndpointId &endpoint, typename Exchange::Request request);
@@ -156,11 +158,8 @@
     HttpResponse wholeAnswer() const;
     void readerGone();
     void armDeadline();
-    void recordSpan(Hop hop, TimePoint start, std::vector<SpanAttribute> attributes = {});
-    void recordAnswer();
     AttemptId attemptId(std::uint32_t attempt) const;
     AnswerLabels labels() const;
-    Labels classLabels() const;
     Duration delayAfter(Duration first, std::uint32_t times);
 
     std::shared_ptr<RelayContext<ClockType>> m_context;
@@ -186,18 +185,14 @@
     std::optional<AnswerEnd> m_end;
     std::optional<ClaimAnswer> m_earlier;
     RequestId m_claimHolder;
+    CallTelemetry m_telemetry;
 
     SessionTimer<ClockType> m_deadlineTimer;
     SessionTimer<ClockType> m_delayTimer;
     SessionTimer<ClockType> m_returnTimer;
 
-    std::string m_rootSpan;
     TimePoint m_stepStarted; ///< of the hop in progress: queue, claim, connect
     TimePoint m_sentAt;
-    std::optional<TimePoint> m_firstTokenAt;
-    TimePoint m_lastTokenAt;
-    std::uint32_t m_gaps = 0;
-    std::uint32_t m_lateGaps = 0; ///< between tokens, longer than the class's target
     std::uint32_t m_lastProgress = 0;
     std::size_t m_accounted = 0; ///< this call's part of the context's memoryBytes
 };
