Bring endpoints to the preset's placement under a lease with fencing

Cause: a preset states what each endpoint should hold; an owner that is paused beyond its lease must not undo what its successor ordered, and some endpoints ignore fencing numbers.

Change: LeaseKeeper holds the lease object by conditional update and counts its time from before the write; PlacementOwner orders one change at a time within the floor, the parallel loads and the store's rate; PlacementService drives both.

--- /dev/null
+++ b/src/placement/lease.cpp
@@ -0,0 +1,276 @@
+// One object, one version: each write is conditional on the version last seen, so of two writers one fails.
+
+#include "placement/lease.h"
+
+#include "base/jsonreader.h"
+
+#include <algorithm>
+
+#include <boost/json.hpp>
+
+namespace Rhubarbwind
+{
+
+namespace
+{
+
+constexpr unsigned maxDoublings = 20;
+constexpr std::size_t longestName = 256;
+// Beyond the largest lease an operator could want; keeps a malformed one from blocking a domain for days.
+constexpr Duration longestLease = 10min;
+
+std::int64_t toMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+std::string untilText(TimePoint time, TimePoint now)
+{
+    return std::to_string(toMilliseconds(std::max(Duration::zero(), time - now)));
+}
+
+} // namespace
+
+std::string formatLease(const LeaseRecord &record)
+{
+    return boost::json::serialize(boost::json::object{{"fencing", record.fencing},
+                                                      {"holder", record.holder},
+                                                      {"host", record.host.text()},
+                                                      {"operation", record.operation.text()},
+                                                      {"duration_ms", toMilliseconds(record.duration)},
+                                                      {"released", record.released}});
+}
+
+Result<LeaseRecord, LeaseError> parseLease(std::string_view text)
+{
+    const Result<boost::json::value, DocumentFaults> document = parseDocument(text);
+    if (!document) {
+        return LeaseError::Malformed;
+    }
+    LeaseRecord record;
+    std::string host;
+    std::string operation;
+    DocumentFaults faults;
+    JsonReader reader(document.value(), "", faults);
+    reader.whole("fencing", record.fencing, 1, std::uint64_t(1) << 62);
+    reader.text("holder", record.holder, longestName, true);
+    reader.text("host", host, longestName, true);
+    reader.text("operation", operation, longestName, true);
+    reader.milliseconds("duration_ms", record.duration, 1ms, longestLease);
+    reader.flag("released", record.released);
+    if (!faults.empty() || record.fencing == 0) {
+        return LeaseError::Malformed;
+    }
+    record.host = HostId(host);
+    record.operation = OperationId(operation);
+    return record;
+}
+
+std::string leaseKey(const FailureDomain &domain)
+{
+    return "placement/lease/" + domain.text();
+}
+
+LeaseKeeper::LeaseKeeper(const LeaseOptions &options)
+    : m_options(options)
+{
+}
+
+void LeaseKeeper::setWanted(bool wanted, bool mayRelease)
+{
+    m_wanted = wanted;
+    m_mayRelease = mayRelease;
+}
+
+void LeaseKeeper::doubt()
+{
+    m_validUntil = TimePoint();
+    m_needRead = true;
+}
+
+std::optional<LeaseCall> LeaseKeeper::nextCall(TimePoint now)
+{
+    if (m_callUnderWay || now < m_retryAt) {
+        return std::nullopt;
+    }
+    std::optional<LeaseCall> call;
+    if (!m_wanted) {
+        if (isMine() && m_mayRelease && now < m_validUntil) {
+            call = write(m_known->record.fencing, true);
+        }
+    } else if (m_needRead) {
+        call = LeaseCall{};
+    } else if (isMine()) {
+        if (now >= m_renewAt) {
+            call = write(m_known->record.fencing, false);
+        }
+    } else if (mayTakeOver(now)) {
+        call = write(m_known ? m_known->record.fencing + 1 : 1, false);
+    } else if (now >= m_pollAt) {
+        call = LeaseCall{};
+    }
+    if (call) {
+        m_callUnderWay = true;
+        m_sentAt = now;
+    }
+    return call;
+}
+
+void LeaseKeeper::readDone(const StoredLease &lease, TimePoint now)
+{
+    callEnded();
+    m_needRead = false;
+    m_missing = false;
+    m_failures = 0;
+    m_pollAt = now + m_options.pollEvery;
+    if (m_known && m_known->version == lease.version) {
+        return;
+    }
+    m_known = lease;
+    m_seenAt = now;
+    // Writes left open were conditional on an older version: none can take effect any more.
+    const std::optional<TimePoint> openSince = std::exchange(m_openSince, std::nullopt);
+    if (isMine() && openSince) {
+        becomeHolder(lease.record.fencing, *openSince, now);
+    } else {
+        m_validUntil = TimePoint();
+        m_renewAt = now;
+    }
+}
+
+void LeaseKeeper::readMissing(TimePoint now)
+{
+    callEnded();
+    m_needRead = false;
+    m_missing = true;
+    m_failures = 0;
+    m_pollAt = now + m_options.pollEvery;
+}
+
+void LeaseKeeper::readFailed(TimePoint now, Random &random)
+{
+    callEnded();
+    retryLater(now, random);
+}
+
+void LeaseKeeper::writeDone(ObjectVersion version, TimePoint now)
+{
+    callEnded();
+    m_known = StoredLease{version, m_written};
+    m_missing = false;
+    m_seenAt = now;
+    m_failures = 0;
+    m_openSince.reset();
+    if (m_written.released) {
+        m_validUntil = TimePoint();
+        return;
+    }
+    becomeHolder(m_written.fencing, m_sentAt, now);
+}
+
+void LeaseKeeper::writeFailed(PlatformErrorKind kind, TimePoint now, Random &random)
+{
+    callEnded();
+    if (m_written.released) {
+        // Failure: the release may have taken effect, and a successor orders at once. Symptom: two holders. The time is given up first.
+        m_validUntil = TimePoint();
+    }
+    if (kind == PlatformErrorKind::Unknown) {
+        m_openSince = m_openSince ? std::min(*m_openSince, m_sentAt) : m_sentAt;
+    }
+    m_needRead = m_needRead || kind == PlatformErrorKind::Unknown || kind == PlatformErrorKind::Conflict;
+    retryLater(now, random);
+}
+
+LeaseView LeaseKeeper::view(TimePoint now) const
+{
+    if (!m_wanted || !isMine() || now >= m_validUntil) {
+        return {};
+    }
+    return {true, m_validUntil - now, m_heldFencing, m_since};
+}
+
+TimePoint LeaseKeeper::wakeAt() const
+{
+    if (m_callUnderWay || !m_wanted) {
+        return TimePoint::max();
+    }
+    if (m_needRead) {
+        return m_retryAt;
+    }
+    return std::max(m_retryAt, isMine() ? m_renewAt : std::min(m_pollAt, takeOverAt()));
+}
+
+std::string LeaseKeeper::describe(TimePoint now) const
+{
+    std::string line = std::string(m_needRead ? "read " : "") + (m_callUnderWay ? "calling " : "") + (m_missing ? "missing " : "");
+    line += "retry " + untilText(m_retryAt, now);
+    if (m_callUnderWay) {
+        line += " sent " + agoText(m_sentAt, now);
+    }
+    if (m_openSince) {
+        line += " open " + agoText(*m_openSince, now);
+    }
+    if (isMine()) {
+        return line + " valid " + untilText(m_validUntil, now) + " renew " + untilText(m_renewAt, now) + " won " + agoText(m_since, now);
+    }
+    return line + " poll " + untilText(m_pollAt, now) + (m_known ? " takeover " + untilText(takeOverAt(), now) : "");
+}
+
+std::string LeaseKeeper::agoText(TimePoint time, TimePoint now) const
+{
+    // Beyond the lease's duration nothing depends on it.
+    return std::to_string(toMilliseconds(std::min(now - time, m_options.duration)));
+}
+
+bool LeaseKeeper::isMine() const
+{
+    return m_known && m_known->record.holder == m_options.holder && !m_known->record.released;
+}
+
+bool LeaseKeeper::mayTakeOver(TimePoint now) const
+{
+    return now >= takeOverAt();
+}
+
+TimePoint LeaseKeeper::takeOverAt() const
+{
+    if (!m_known) {
+        return m_missing ? TimePoint() : TimePoint::max();
+    }
+    if (m_known->record.released) {
+        return TimePoint();
+    }
+    return m_seenAt + fromSeconds(toSeconds(m_known->record.duration) * (1 + m_options.rateMargin));
+}
+
+LeaseCall LeaseKeeper::write(std::uint64_t fencing, bool released)
+{
+    const OperationId operation(m_options.holder + "/" + std::to_string(++m_sequence));
+    m_written = {fencing, m_options.holder, m_options.host, operation, m_options.duration, released};
+    return {LeaseCallKind::Write, m_written, m_known ? WriteCondition::atVersion(m_known->version) : WriteCondition::absent()};
+}
+
+void LeaseKeeper::callEnded()
+{
+    m_callUnderWay = false;
+}
+
+void LeaseKeeper::retryLater(TimePoint now, Random &random)
+{
+    const double doubled = toSeconds(m_options.retryFirst) * static_cast<double>(1U << std::min(m_failures, maxDoublings));
+    ++m_failures;
+    m_retryAt = now + fromSeconds(random.uniform() * std::min(doubled, toSeconds(m_options.retryMost)));
+}
+
+void LeaseKeeper::becomeHolder(std::uint64_t fencing, TimePoint since, TimePoint now)
+{
+    m_validUntil = since + m_options.duration;
+    m_renewAt = since + m_options.renewEvery;
+    if (fencing != m_heldFencing) {
+        m_heldFencing = fencing;
+        m_since = now;
+    }
+}
+
+} // namespace Rhubarbwind
--- /dev/null
+++ b/src/placement/placement_test.cpp
@@ -0,0 +1,282 @@
+#include "placement/endpointorders.h"
+#include "placement/placementservice.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Rhubarbwind;
+
+namespace
+{
+
+/** One lease object in memory; the next writes' answers may be lost. */
+class FakeLeases
+{
+public:
+    explicit FakeLeases(boost::asio::io_context &context)
+        : m_context(context)
+    {
+    }
+
+    void get(const std::string &key, PlatformHandler<StoredObject> handler)
+    {
+        if (down) {
+            answer<StoredObject>(handler, PlatformError{PlatformErrorKind::Unreachable, 0});
+        } else if (object) {
+            answer<StoredObject>(handler, StoredObject{key, object->version, object->value});
+        } else {
+            answer<StoredObject>(handler, PlatformError{PlatformErrorKind::NotFound, 0});
+        }
+    }
+    void put(const std::string &key, const std::string &value, WriteCondition condition, PlatformHandler<ObjectVersion> handler)
+    {
+        const bool absent = condition.kind == WriteCondition::Kind::Absent;
+        if (down) {
+            answer<ObjectVersion>(handler, PlatformError{PlatformErrorKind::Unreachable, 0});
+        } else if (absent ? object.has_value() : !object || object->version != condition.version) {
+            answer<ObjectVersion>(handler, PlatformError{PlatformErrorKind::Conflict, 0});
+        } else {
+            object = StoredObject{key, object ? object->version + 1 : 1, value};
+            const bool lost = std::exchange(loseNextAnswer, false);
+            answer<ObjectVersion>(handler, lost ? PlatformResult<ObjectVersion>(PlatformError{PlatformErrorKind::Unknown, 0}) : object->version);
+        }
+    }
+    void remove(const std::string &, WriteCondition, const PlatformHandler<ObjectVersion> &)
+    {
+    }
+    void list(const std::string &, const PlatformHandler<std::vector<StoredObject>> &)
+    {
+    }
+    void watch(const std::string &, std::uint64_t, Duration, const PlatformHandler<WatchBatch> &)
+    {
+    }
+
+    std::optional<StoredObject> object;
+    bool down = false;
+    bool loseNextAnswer = false;
+
+private:
+    template <class T>
+    void answer(const PlatformHandler<T> &handler, PlatformResult<T> result)
+    {
+        boost::asio::post(m_context, [handler, result = std::move(result)] { handler(result); });
+    }
+    boost::asio::io_context &m_context;
+};
+
+constexpr Duration loadTime = 5s;
+
+/** Endpoints that load for loadTime and count what they were told. */
+class FakeEndpoints
+{
+public:
+    explicit FakeEndpoints(boost::asio::io_context &context)
+        : m_context(context)
+    {
+    }
+
+    void order(const OrderedEndpoint &endpoint, const PlacementOrder &order, Duration, OrderHandler handler)
+    {
+        ++orders;
+        newestFencing = std::max(newestFencing, order.fencing);
+        EndpointPlacement &placement = placements[endpoint.id];
+        placement = {order.goal.model, order.goal.version, order.goal.adapters, order.goal.role, true, order.fencing};
+        readyAt[endpoint.id] = ManualClock::now() + loadTime;
+        const OrderOutcome outcome = std::exchange(nextOutcome, OrderOutcome::Accepted);
+        boost::asio::post(m_context, [handler = std::move(handler), outcome] { handler(outcome); });
+    }
+    void state(const OrderedEndpoint &endpoint, Duration, StateHandler handler)
+    {
+        settle();
+        boost::asio::post(m_context, [handler = std::move(handler), placement = placements[endpoint.id]] { handler(placement); });
+    }
+
+    std::size_t loading()
+    {
+        settle();
+        return static_cast<std::size_t>(std::count_if(placements.begin(), placements.end(), [](const auto &entry) { return entry.second.loading; }));
+    }
+
+    std::map<EndpointId, EndpointPlacement> placements;
+    std::map<EndpointId, TimePoint> readyAt;
+    std::size_t orders = 0;
+    std::uint64_t newestFencing = 0;
+    OrderOutcome nextOutcome = OrderOutcome::Accepted;
+
+private:
+    void settle()
+    {
+        for (auto &[id, placement] : placements) {
+            placement.loading = placement.loading && ManualClock::now() < readyAt[id];
+        }
+    }
+    boost::asio::io_context &m_context;
+};
+
+using TestService = PlacementService<ManualClock, FakeLeases, FakeEndpoints>;
+
+constexpr std::size_t endpointCount = 4;
+
+/** Four endpoints of one domain that hold "old"; services are added as hosts come. */
+struct Domain
+{
+    Domain()
+    {
+        ManualClock::reset();
+        for (std::size_t i = 0; i < endpointCount; ++i) {
+            const EndpointId id("e" + std::to_string(i));
+            endpoints.push_back({id, FailureDomain("d"), "127.0.0.1", 0, i % 2 == 0});
+            orders.placements[id] = {"m", "old", {}, "serve", false, 0};
+            rules.goals.push_back({id, "m", "new", {}, "serve"});
+        }
+    }
+
+    std::shared_ptr<TestService> addHost(const std::string &name, std::vector<HostId> live)
+    {
+        PlacementServiceOptions options;
+        options.self = HostId(name);
+        options.seed = 7;
+        options.placement.loadsPerSecond = 10;
+        const std::shared_ptr<TestService> service = std::make_shared<TestService>(context, leases, orders, options);
+        service->setHosts(live);
+        service->setEndpoints(endpoints);
+        service->setRules(rules);
+        return service;
+    }
+
+    void run(Duration span)
+    {
+        for (Duration passed{}; passed < span; passed += 50ms) {
+            context.restart();
+            context.poll();
+            mostLoading = std::max(mostLoading, orders.loading());
+            ManualClock::advance(50ms);
+        }
+    }
+
+    std::size_t placed(const std::string &version) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(orders.placements.begin(), orders.placements.end(), [&version](const auto &entry) { return entry.second.version == version; }));
+    }
+
+    boost::asio::io_context context;
+    FakeLeases leases{context};
+    FakeEndpoints orders{context};
+    std::vector<OrderedEndpoint> endpoints;
+    PlacementRules rules;
+    std::size_t mostLoading = 0;
+};
+
+} // namespace
+
+TEST_CASE("a lease, an order and a state read back as they were written")
+{
+    const LeaseRecord record{7, "p", HostId("h"), OperationId("o"), 15s, true};
+    CHECK(parseLease(formatLease(record)).value() == record);
+    CHECK(parseLease(R"({"fencing":0,"holder":"p","host":"h","operation":"o","duration_ms":1000})").has_error());
+    CHECK(parseLease("{").has_error());
+    CHECK(formatOrder({7, {EndpointId("e"), "m", "1", {"a"}, "serve"}}) == R"({"fencing":7,"model":"m","version":"1","adapters":["a"],"role":"serve"})");
+    const EndpointPlacement state = parseState(R"({"model":"m","version":"1","adapters":["b","a"],"role":"serve","loading":false,"fencing":7})").value();
+    CHECK(meetsGoal(state, {EndpointId("e"), "m", "1", {"a", "b"}, "serve"}));
+    CHECK_FALSE(needsLoad(state, {EndpointId("e"), "m", "1", {"a", "b"}, "prefill"}));
+    CHECK(parseState(R"({"model":"m"})").error() == StateError::Malformed);
+}
+
+TEST_CASE("a change goes step by step and keeps the floor in service")
+{
+    Domain domain;
+    domain.rules.parallelLoads = 4;
+    const std::shared_ptr<TestService> service = domain.addHost("a", {HostId("a")});
+    domain.run(60s);
+    CHECK(domain.placed("new") == endpointCount);
+    CHECK(domain.orders.orders == endpointCount);
+    CHECK(domain.mostLoading == 1);
+    CHECK(service->status().at(FailureDomain("d")).placement.settled == endpointCount);
+}
+
+TEST_CASE("parallel loads bound a change where the floor leaves room")
+{
+    Domain domain;
+    domain.rules.readyFloor = 0;
+    domain.rules.parallelLoads = 2;
+    const std::shared_ptr<TestService> service = domain.addHost("a", {HostId("a")});
+    domain.run(60s);
+    CHECK(domain.placed("new") == endpointCount);
+    CHECK(domain.mostLoading == 2);
+}
+
+TEST_CASE("an order whose answer was lost is looked at before anything is ordered again")
+{
+    // The operator sees an endpoint load the same weights twice. The order was carried out and its answer lost; ordered again at
+    // once the endpoint would start over. The state is read once the order's bound has passed, and shows that it was carried out.
+    Domain domain;
+    domain.orders.nextOutcome = OrderOutcome::Unknown;
+    const std::shared_ptr<TestService> service = domain.addHost("a", {HostId("a")});
+    domain.run(60s);
+    CHECK(domain.placed("new") == endpointCount);
+    CHECK(domain.orders.orders == endpointCount);
+}
+
+TEST_CASE("while the platform is down nothing is ordered after the lease and nothing is undone")
+{
+    // The operator sees placement change though no host can hold the lease. The platform goes down in the middle of a change; the
+    // owner may go on for as long as its lease lasts, then must stop, and must not undo what was reached.
+    Domain domain;
+    const std::shared_ptr<TestService> service = domain.addHost("a", {HostId("a")});
+    domain.run(4s);
+    REQUIRE(domain.orders.orders == 1);
+    domain.leases.down = true;
+    domain.run(20s);
+    const std::size_t ordered = domain.orders.orders;
+    CHECK(ordered < endpointCount);
+    domain.run(60s);
+    CHECK(domain.orders.orders == ordered);
+    CHECK_FALSE(service->status().at(FailureDomain("d")).lease.held);
+    domain.leases.down = false;
+    domain.run(60s);
+    CHECK(domain.placed("new") == endpointCount);
+    CHECK(domain.orders.newestFencing == 1);
+}
+
+TEST_CASE("a lost answer to a lease write is resolved by reading back")
+{
+    // The operator sees no orders for the length of a lease. The write took effect and its answer was lost; an owner that took it
+    // for a failure would wait for its own lease to run out.
+    Domain domain;
+    domain.leases.loseNextAnswer = true;
+    const std::shared_ptr<TestService> service = domain.addHost("a", {HostId("a")});
+    domain.run(5s);
+    CHECK(service->status().at(FailureDomain("d")).lease.held);
+    CHECK(domain.orders.orders == 1);
+    CHECK(domain.orders.newestFencing == 1);
+}
+
+TEST_CASE("a successor waits out the lease of an owner that vanished and not that of one that let go")
+{
+    struct Row
+    {
+        const char *name;
+        bool letsGo;
+    };
+    for (const Row &row : {Row{"vanished", false}, Row{"let go", true}}) {
+        INFO(row.name);
+        Domain domain;
+        const std::shared_ptr<TestService> first = domain.addHost("a", {HostId("a")});
+        domain.run(60s);
+        REQUIRE(domain.placed("new") == endpointCount);
+        if (row.letsGo) {
+            first->setHosts({});
+            domain.run(1s);
+        }
+        first->stop();
+        for (PlacementGoal &goal : domain.rules.goals) {
+            goal.version = "newer";
+        }
+        const std::shared_ptr<TestService> second = domain.addHost("b", {HostId("b")});
+        domain.run(14s);
+        CHECK((domain.orders.newestFencing == 2) == row.letsGo);
+        domain.run(60s);
+        CHECK(domain.orders.newestFencing == 2);
+        CHECK(domain.placed("newer") == endpointCount);
+    }
+}
