--- a/src/ledger/ledger_test.cpp
+++ b/src/ledger/ledger_test.cpp
@@ -31,7 +31,7 @@
     {
     }
 
-    void get(const std::string &key, PlatformHandler<StoredObject> handler)
+    void get(const std::string &key, const PlatformHandler<StoredObject> &handler)
     {
         if (down) {
             answer<StoredObject>(handler, PlatformError{PlatformErrorKind::Unreachable, 0});
@@ -42,7 +42,7 @@
         }
     }
 
-    void put(const std::string &key, const std::string &value, WriteCondition condition, PlatformHandler<ObjectVersion> handler)
+    void put(const std::string &key, const std::string &value, WriteCondition condition, const PlatformHandler<ObjectVersion> &handler)
     {
         const Fault fault = faults.empty() ? Fault::None : faults.front();
         if (!faults.empty()) {
@@ -69,7 +69,7 @@
         }
     }
 
-    void remove(const std::string &key, WriteCondition condition, PlatformHandler<ObjectVersion> handler)
+    void remove(const std::string &key, WriteCondition condition, const PlatformHandler<ObjectVersion> &handler)
     {
         const auto found = objects.find(key);
         if (found == objects.end() || found->second.version != condition.version) {
@@ -80,7 +80,7 @@
         answer<ObjectVersion>(handler, ++m_revision);
     }
 
-    void list(const std::string &prefix, PlatformHandler<std::vector<StoredObject>> handler)
+    void list(const std::string &prefix, const PlatformHandler<std::vector<StoredObject>> &handler)
     {
         if (down) {
             answer<std::vector<StoredObject>>(handler, PlatformError{PlatformErrorKind::Unreachable, 0});
@@ -212,7 +212,7 @@
 
     std::shared_ptr<std::vector<ClaimAnswer>> claim(std::size_t host, const std::string &request, Duration deadlineIn = 20s)
     {
-        const std::shared_ptr<std::vector<ClaimAnswer>> answers = std::make_shared<std::vector<ClaimAnswer>>();
+        std::shared_ptr<std::vector<ClaimAnswer>> answers = std::make_shared<std::vector<ClaimAnswer>>();
         hosts[host]->claim(ClaimKey("key"), RequestId(request), deadlineIn, [answers](const ClaimAnswer &answer) { answers->push_back(answer); });
         return answers;
     }
--- a/src/ledger/ledgerdesk.cpp
+++ b/src/ledger/ledgerdesk.cpp
@@ -49,7 +49,7 @@
 
 ClaimToken LedgerDesk::claim(const ClaimKey &key, const RequestId &request, Duration deadlineIn, TimePoint now)
 {
-    const ClaimToken token = nextToken();
+    ClaimToken token = nextToken();
     if (m_byRequest.contains({key, request})) {
         answer(token, {ClaimVerdict::Repeated, request, m_options.self, ClaimState::InProgress});
         return token;
--- a/src/ledger/ledgerwriter.h
+++ b/src/ledger/ledgerwriter.h
@@ -46,7 +46,7 @@
 struct LedgerWriterOptions
 {
     std::size_t batchRecords = 500; ///< most records in a segment; 1: one object a claim
-    std::size_t batchBytes = 256 * 1024; ///< most text in a segment, well under the platform's 1 MB a value
+    std::size_t batchBytes = 262'144; ///< most text in a segment, well under the platform's 1 MB a value
     std::size_t queueLimit = 10'000; ///< most claims waiting, and most ends waiting
     std::size_t keyLimit = 60'000; ///< most keys held; about 400 bytes each in the log, which a new writer lists whole
     Duration retention = 1h; ///< how long a key stays taken after its claim
--- a/src/placement/endpointorders.cpp
+++ b/src/placement/endpointorders.cpp
@@ -17,7 +17,7 @@
 using ExchangeResult = Result<HttpAnswer, ExchangeError>;
 
 // A state is a few names; an endpoint that sends more is broken.
-constexpr std::size_t maxAnswerBytes = 64 * 1024;
+constexpr std::size_t maxAnswerBytes = 65'536;
 constexpr std::size_t longestName = 256;
 constexpr std::size_t maxAdapters = 1024;
 
--- a/src/placement/lease.cpp
+++ b/src/placement/lease.cpp
@@ -93,22 +93,7 @@
     if (m_callUnderWay || now < m_retryAt) {
         return std::nullopt;
     }
-    std::optional<LeaseCall> call;
-    if (!m_wanted) {
-        if (isMine() && m_mayRelease && now < m_validUntil) {
-            call = write(m_known->record.fencing, true);
-        }
-    } else if (m_needRead) {
-        call = LeaseCall{};
-    } else if (isMine()) {
-        if (now >= m_renewAt) {
-            call = write(m_known->record.fencing, false);
-        }
-    } else if (mayTakeOver(now)) {
-        call = write(m_known ? m_known->record.fencing + 1 : 1, false);
-    } else if (now >= m_pollAt) {
-        call = LeaseCall{};
-    }
+    std::optional<LeaseCall> call = m_wanted ? wantedCall(now) : releaseCall(now);
     if (call) {
         m_callUnderWay = true;
         m_sentAt = now;
@@ -116,6 +101,25 @@
     return call;
 }
 
+std::optional<LeaseCall> LeaseKeeper::releaseCall(TimePoint now)
+{
+    if (!isMine() || !m_mayRelease || now >= m_validUntil) {
+        return std::nullopt;
+    }
+    return write(m_known->record.fencing, true);
+}
+
+std::optional<LeaseCall> LeaseKeeper::wantedCall(TimePoint now)
+{
+    if (!m_needRead && isMine()) {
+        return now >= m_renewAt ? write(m_known->record.fencing, false) : std::optional<LeaseCall>();
+    }
+    if (!m_needRead && now >= takeOverAt()) {
+        return write(m_known ? m_known->record.fencing + 1 : 1, false);
+    }
+    return m_needRead || now >= m_pollAt ? LeaseCall{} : std::optional<LeaseCall>();
+}
+
 void LeaseKeeper::readDone(const StoredLease &lease, TimePoint now)
 {
     callEnded();
@@ -228,11 +232,6 @@
     return m_known && m_known->record.holder == m_options.holder && !m_known->record.released;
 }
 
-bool LeaseKeeper::mayTakeOver(TimePoint now) const
-{
-    return now >= takeOverAt();
-}
-
 TimePoint LeaseKeeper::takeOverAt() const
 {
     if (!m_known) {
--- a/src/placement/placement_test.cpp
+++ b/src/placement/placement_test.cpp
@@ -17,7 +17,7 @@
     {
     }
 
-    void get(const std::string &key, PlatformHandler<StoredObject> handler)
+    void get(const std::string &key, const PlatformHandler<StoredObject> &handler)
     {
         if (down) {
             answer<StoredObject>(handler, PlatformError{PlatformErrorKind::Unreachable, 0});
@@ -27,7 +27,7 @@
             answer<StoredObject>(handler, PlatformError{PlatformErrorKind::NotFound, 0});
         }
     }
-    void put(const std::string &key, const std::string &value, WriteCondition condition, PlatformHandler<ObjectVersion> handler)
+    void put(const std::string &key, const std::string &value, WriteCondition condition, const PlatformHandler<ObjectVersion> &handler)
     {
         const bool absent = condition.kind == WriteCondition::Kind::Absent;
         if (down) {
@@ -136,7 +136,7 @@
         options.self = HostId(name);
         options.seed = 7;
         options.placement.loadsPerSecond = 10;
-        const std::shared_ptr<TestService> service = std::make_shared<TestService>(context, leases, orders, options);
+        std::shared_ptr<TestService> service = std::make_shared<TestService>(context, leases, orders, options);
         service->setHosts(live);
         service->setEndpoints(endpoints);
         service->setRules(rules);
