Test the desk's own deadline and make the lost ticket of a test truly lost

Cause: with the desk's deadline taken out, every test passed, since the arbiter refuses at the same time; and the test of a lost ticket sent it after the link was mended. Change: a test with a silent arbiter; the ticket of the other goes out before the cut. Shown by: arbiter_test passed; without the gap check the lost ticket is not granted.

--- a/src/arbiter/arbiterhost_test.cpp
+++ b/src/arbiter/arbiterhost_test.cpp
@@ -395,6 +395,7 @@
     cluster.run(500ms);
     for (const int turns : {0, 1}) { // the ticket is lost; the answer is lost
         const std::string name = "lost" + std::to_string(turns);
+        ManualClock::advance(5ms); // past the flush interval, so that the ticket goes out at once
         cluster.request(cluster.entry, name);
         cluster.context.restart();
         cluster.context.poll();
--- a/src/arbiter/permitdesk_test.cpp
+++ b/src/arbiter/permitdesk_test.cpp
@@ -498,3 +498,19 @@
     REQUIRE((batches.front().incarnation == 2 && batches.front().complete));
     REQUIRE(batches.front().tickets.size() == 1);
 }
+
+TEST_CASE("a request that nobody answers is refused at its deadline, and the arbiter is told")
+{
+    // The caller must hear "not run" in time though the arbiter is silent and the own share has no place. A ticket that
+    // stayed with the arbiter would later be granted for nobody.
+    PermitDesk desk = deskOfOwner();
+    desk.request(begin, ticketOf("r"));
+    REQUIRE(batchesOf(desk, begin).size() == 1);
+    REQUIRE(desk.nextWake().has_value());
+    desk.tick(begin + 30s);
+    const std::vector<PermitDeskAction> actions = desk.takeActions();
+    REQUIRE(actions.size() == 2);
+    REQUIRE(std::get<Refusal>(actions.front()).reason == RefusalReason::DeadlinePassed);
+    REQUIRE(std::get<SendPermitRequests>(actions.back()).batch.cancels.size() == 1);
+    REQUIRE(desk.status().waiting == 0);
+}
