--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -35,7 +35,7 @@
 
 // Events.
 
-MembershipActions Membership::start(TimePoint now, Member self, std::span<const ListedHost> seeds)
+MembershipActions Membership::start(TimePoint now, Member self, std::span<const SeedHost> seeds)
 {
     m_self = std::move(self);
     m_self.state = MemberState::Alive;
@@ -49,13 +49,13 @@
     return hostList(now, seeds);
 }
 
-MembershipActions Membership::hostList(TimePoint now, std::span<const ListedHost> list)
+MembershipActions Membership::hostList(TimePoint now, std::span<const SeedHost> list)
 {
     m_listed.clear();
     for (auto &[host, known] : m_members) {
         known.listedLeaving = false;
     }
-    for (const ListedHost &listed : list.first(std::min(list.size(), maxMembers))) {
+    for (const SeedHost &listed : list.first(std::min(list.size(), maxMembers))) {
         if (listed.host == m_self.host) {
             continue;
         }
