--- a/src/preset/presetservice.h
+++ b/src/preset/presetservice.h
@@ -33,6 +33,9 @@
 namespace Rhubarbwind
 {
 
+/** Least time between two looks at what is due, so that a due time in the past cannot spin. */
+inline constexpr Duration leastPresetSleep = 1ms;
+
 struct PresetServiceOptions
 {
     HostId self;
@@ -231,7 +234,7 @@
         for (const SpreadAction &action : m_spread.advance(now)) {
             carryOut(action);
         }
-        m_timer.expires_at(std::max(m_spread.nextTick(), now + minimumTick));
+        m_timer.expires_at(std::max(m_spread.nextTick(), now + leastPresetSleep));
         m_timer.async_wait([weak = this->weak_from_this()](const boost::system::error_code &error) {
             const std::shared_ptr<PresetService> self = weak.lock();
             if (!error && self) {
@@ -385,8 +388,6 @@
         }
     }
 
-    static constexpr Duration minimumTick = 1ms; ///< least sleep, so that a due time in the past cannot spin
-
     boost::asio::any_io_executor m_executor;
     Api &m_api;
     Transport &m_transport;
--- a/src/preset/presetspread.h
+++ b/src/preset/presetspread.h
@@ -54,7 +54,9 @@
     Duration longestRetry = 3s;
     Duration isolationLimit = 20s; ///< above pollInterval's longest wait
     Duration settleLimit = 3s; ///< of a starting host that knows of a newer version than it holds
-    std::size_t announceTo = 4; ///< hosts told at once of an adoption
+    /** Hosts told at once of an adoption; each tells as many, so nearly all hear in a few steps. Without it membership
+     *  alone must carry the news: at 370 hosts 3.3 s in place of 0.8 s (preset_test '[.measure]'). */
+    std::size_t announceTo = 4;
 };
 
 struct SpreadAction
