Pin the lease's clock, the order's bound and the HTTP outcomes each by a test

Cause: with exact clocks the order's bound and the successor's wait cover for each other, so the search passed with either one taken out.

Change: a test for each alone, one for the lease's time after a late or lost answer, and a contract test of the order client over a real socket.

Conclusion: each mechanism of the lease now has a test that fails without it.

--- a/src/placement/placement_test.cpp
+++ b/src/placement/placement_test.cpp
@@ -182,6 +182,61 @@
     CHECK(parseState(R"({"model":"m"})").error() == StateError::Malformed);
 }
 
+TEST_CASE("a lease counts from before its write was sent")
+{
+    // The operator sees orders of two owners at once. The holder's write took effect at once but its answer came 10 s late, or was
+    // lost and read back after 10 s. A holder that counted from the answer would believe in its lease when a successor has taken it.
+    for (const bool lost : {false, true}) {
+        INFO((lost ? "answer lost, read back" : "answer late"));
+        LeaseOptions options;
+        options.holder = "p";
+        LeaseKeeper keeper(options);
+        keeper.setWanted(true, true);
+        Random random(1);
+        const TimePoint start(1h);
+        REQUIRE(keeper.nextCall(start)->kind == LeaseCallKind::Read);
+        keeper.readMissing(start);
+        const LeaseRecord written = keeper.nextCall(start)->record;
+        const TimePoint answered = start + 10s;
+        if (lost) {
+            keeper.writeFailed(PlatformErrorKind::Unknown, answered - 2s, random);
+            REQUIRE(keeper.nextCall(answered)->kind == LeaseCallKind::Read);
+            keeper.readDone({1, written}, answered);
+        } else {
+            keeper.writeDone(1, answered);
+        }
+        CHECK(keeper.view(answered).remaining == 5s);
+        CHECK_FALSE(keeper.view(start + 15s).held);
+    }
+}
+
+TEST_CASE("an order that could outlast the lease goes only to endpoints that check its number")
+{
+    // The operator sees an endpoint that ignores numbers fall back to an old model: the order went out just before the lease ended,
+    // or a new owner ordered while one of its predecessor's orders was still on its way.
+    struct Row
+    {
+        bool checks;
+        Duration remaining;
+        Duration heldFor;
+        bool ordered;
+    };
+    const std::vector<Row> rows{{true, 1s, 0s, true}, {false, 3s, 10s, false}, {false, 3001ms, 10s, true}, {false, 10s, 1999ms, false}, {false, 10s, 2s, true}};
+    for (const Row &row : rows) {
+        INFO("checks " << row.checks << ", remaining " << toSeconds(row.remaining) << " s, held for " << toSeconds(row.heldFor) << " s");
+        const TimePoint now(1h);
+        PlacementOwner owner(PlacementOptions{}, now);
+        owner.setEndpoints(std::array{OrderedEndpoint{EndpointId("e"), {}, "", 0, row.checks}});
+        owner.setRules({{PlacementGoal{EndpointId("e"), "m", "new", {}, "serve"}}, 0, 1});
+        const LeaseView lease{true, row.remaining, 1, now - row.heldFor};
+        for (const PlacementCall &call : owner.nextCalls(lease, now)) {
+            REQUIRE(call.kind == PlacementCallKind::ReadState);
+            owner.stateDone(call.endpoint, {"m", "old", {}, "serve", false, 0}, now);
+        }
+        CHECK(!owner.nextCalls(lease, now).empty() == row.ordered);
+    }
+}
+
 TEST_CASE("a change goes step by step and keeps the floor in service")
 {
     Domain domain;
@@ -251,6 +306,51 @@
     CHECK(domain.orders.newestFencing == 1);
 }
 
+TEST_CASE("orders and states travel over HTTP and every failure has its outcome")
+{
+    struct Row
+    {
+        const char *answer; ///< null: the endpoint closes without one
+        OrderOutcome outcome;
+    };
+    const std::vector<Row> rows{{"HTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\n{}", OrderOutcome::Accepted},
+                                {"HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\n{}", OrderOutcome::StaleNumber},
+                                {"HTTP/1.1 400 Bad Request\r\nContent-Length: 2\r\n\r\n{}", OrderOutcome::Refused},
+                                {"HTTP/1.1 500 Broken\r\nContent-Length: 2\r\n\r\n{}", OrderOutcome::Unknown},
+                                {"no HTTP at all\r\n\r\n", OrderOutcome::Unknown},
+                                {nullptr, OrderOutcome::Unknown}};
+    using boost::asio::ip::tcp;
+    for (const Row &row : rows) {
+        boost::asio::io_context context;
+        tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+        tcp::socket peer(context);
+        boost::asio::streambuf request;
+        acceptor.async_accept(peer, [&](const boost::system::error_code &) {
+            boost::asio::async_read_until(peer, request, "\"role\":\"serve\"}", [&](const boost::system::error_code &, std::size_t) {
+                if (row.answer != nullptr) {
+                    boost::asio::write(peer, boost::asio::buffer(std::string(row.answer)));
+                }
+                peer.close();
+            });
+        });
+        HttpEndpointOrders<SteadyClock> orders(context.get_executor());
+        std::vector<OrderOutcome> outcomes;
+        const OrderedEndpoint endpoint{EndpointId("e"), {}, "127.0.0.1", acceptor.local_endpoint().port(), false};
+        orders.order(endpoint, {3, {EndpointId("e"), "m", "1", {}, "serve"}}, 20s, [&outcomes](OrderOutcome outcome) { outcomes.push_back(outcome); });
+        context.run_for(20s);
+        CHECK(outcomes == std::vector<OrderOutcome>{row.outcome});
+        const std::string sent(boost::asio::buffers_begin(request.data()), boost::asio::buffers_end(request.data()));
+        CHECK(sent.starts_with("POST /v1/orders HTTP/1.1"));
+    }
+    boost::asio::io_context context;
+    HttpEndpointOrders<SteadyClock> orders(context.get_executor());
+    std::vector<OrderOutcome> outcomes;
+    orders.order({EndpointId("e"), {}, "nowhere", 1, false}, {}, 1s, [&outcomes](OrderOutcome outcome) { outcomes.push_back(outcome); });
+    CHECK(outcomes.empty());
+    context.run_for(20s);
+    CHECK(outcomes == std::vector<OrderOutcome>{OrderOutcome::NotSent});
+}
+
 TEST_CASE("a successor waits out the lease of an owner that vanished and not that of one that let go")
 {
     struct Row
