--- a/src/relay/relaybench_test.h
+++ b/src/relay/relaybench_test.h
@@ -297,6 +297,10 @@
     {
         return m_raw;
     }
+    void send(const std::string &text)
+    {
+        asio::write(m_socket, asio::buffer(text));
+    }
     void startReading()
     {
         read();
