--- a/src/arbiter/capacity_test.cpp
+++ b/src/arbiter/capacity_test.cpp
@@ -276,7 +276,7 @@
 
 } // namespace
 
-TEST_CASE("one desk and its arbiter: frames, bytes and processor time by requests a second", "[.measure]")
+TEST_CASE("one desk and its arbiter: frames, bytes and processor time by requests a second", "[.measure][capacity]")
 {
     // 13,000 requests a second over 370 hosts and 90 shards are 0.39 a second for a desk; the others show the slope.
     for (const double rate : {0.06, 0.39, 1.56, 6.25}) {
@@ -300,7 +300,7 @@
     std::fflush(stdout);
 }
 
-TEST_CASE("an arbiter's memory by permits held and tickets waiting", "[.measure]")
+TEST_CASE("an arbiter's memory by permits held and tickets waiting", "[.measure][capacity]")
 {
     TimePoint now = TimePoint(1h);
     EndpointPool pool({}, now);
@@ -337,7 +337,7 @@
     std::fflush(stdout);
 }
 
-TEST_CASE("a host's permits by the number of shards: memory, a pass, a change of hosts, a change of preset", "[.measure]")
+TEST_CASE("a host's permits by the number of shards: memory, a pass, a change of hosts, a change of preset", "[.measure][capacity]")
 {
     using MeasuredHost = ArbiterHost<ManualClock, DroppingPort, EndpointPool>;
     const std::shared_ptr<const PresetInForce> preset = presetOf(5100);
