Drive the in-flight limit by the 95th percentile between tokens, and wire placement

Engines prefill other callers' prompts between tokens, so the mean the limit was driven by stayed below its target while every twentieth gap was late. Ruled out: waiting (first token p99 0.9 s), lost or broken answers (none), host processor time (4 ms a request). Placement is wired: leases, orders, status. Retry ratio is taken from settings.

--- a/src/arbiter/arbiterimpl.h
+++ b/src/arbiter/arbiterimpl.h
@@ -382,7 +382,7 @@
         return;
     }
     const bool failed = release.kind == ReleaseKind::EndpointFailed;
-    const ServiceSample sample{release.firstToken, release.meanInterToken, release.tokens, release.reusedPromptTokens, failed};
+    const ServiceSample sample{release.firstToken, release.meanInterToken, release.tokens, release.reusedPromptTokens, failed, release.slowInterToken};
     m_pool.free(now, permit.reservation, sample);
 }
 
--- a/src/arbiter/permitcodec.cpp
+++ b/src/arbiter/permitcodec.cpp
@@ -89,7 +89,8 @@
                                   wireDuration(release.firstToken),
                                   wireDuration(release.meanInterToken),
                                   release.tokens,
-                                  release.reusedPromptTokens);
+                                  release.reusedPromptTokens,
+                                  wireDuration(release.slowInterToken));
 }
 
 Offset<Fb::HeldEntry> encodeHeld(FlatBufferBuilder &builder, const HeldPermit &held)
@@ -224,6 +225,7 @@
         release.meanInterToken = duration(entry->mean_inter_token_us());
         release.tokens = entry->tokens();
         release.reusedPromptTokens = entry->reused_prompt_tokens();
+        release.slowInterToken = duration(entry->slow_inter_token_us());
         return release;
     }
 
--- a/src/arbiter/permits_generated.h
+++ b/src/arbiter/permits_generated.h
@@ -270,7 +270,8 @@
     VT_FIRST_TOKEN_US = 10,
     VT_MEAN_INTER_TOKEN_US = 12,
     VT_TOKENS = 14,
-    VT_REUSED_PROMPT_TOKENS = 16
+    VT_REUSED_PROMPT_TOKENS = 16,
+    VT_SLOW_INTER_TOKEN_US = 18
   };
   const Rhubarbwind::PermitWire::Attempt *id() const {
     return GetPointer<const Rhubarbwind::PermitWire::Attempt *>(VT_ID);
@@ -293,6 +294,9 @@
   uint32_t reused_prompt_tokens() const {
     return GetField<uint32_t>(VT_REUSED_PROMPT_TOKENS, 0);
   }
+  int64_t slow_inter_token_us() const {
+    return GetField<int64_t>(VT_SLOW_INTER_TOKEN_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -304,6 +308,7 @@
            VerifyField<int64_t>(verifier, VT_MEAN_INTER_TOKEN_US, 8) &&
            VerifyField<uint32_t>(verifier, VT_TOKENS, 4) &&
            VerifyField<uint32_t>(verifier, VT_REUSED_PROMPT_TOKENS, 4) &&
+           VerifyField<int64_t>(verifier, VT_SLOW_INTER_TOKEN_US, 8) &&
            verifier.EndTable();
   }
 };
@@ -333,6 +338,9 @@
   void add_reused_prompt_tokens(uint32_t reused_prompt_tokens) {
     fbb_.AddElement<uint32_t>(ReleaseEntry::VT_REUSED_PROMPT_TOKENS, reused_prompt_tokens, 0);
   }
+  void add_slow_inter_token_us(int64_t slow_inter_token_us) {
+    fbb_.AddElement<int64_t>(ReleaseEntry::VT_SLOW_INTER_TOKEN_US, slow_inter_token_us, 0);
+  }
   explicit ReleaseEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -352,8 +360,10 @@
     int64_t first_token_us = 0,
     int64_t mean_inter_token_us = 0,
     uint32_t tokens = 0,
-    uint32_t reused_prompt_tokens = 0) {
+    uint32_t reused_prompt_tokens = 0,
+    int64_t slow_inter_token_us = 0) {
   ReleaseEntryBuilder builder_(_fbb);
+  builder_.add_slow_inter_token_us(slow_inter_token_us);
   builder_.add_mean_inter_token_us(mean_inter_token_us);
   builder_.add_first_token_us(first_token_us);
   builder_.add_reused_prompt_tokens(reused_prompt_tokens);
@@ -372,7 +382,8 @@
     int64_t first_token_us = 0,
     int64_t mean_inter_token_us = 0,
     uint32_t tokens = 0,
-    uint32_t reused_prompt_tokens = 0) {
+    uint32_t reused_prompt_tokens = 0,
+    int64_t slow_inter_token_us = 0) {
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   return Rhubarbwind::PermitWire::CreateReleaseEntry(
       _fbb,
@@ -382,7 +393,8 @@
       first_token_us,
       mean_inter_token_us,
       tokens,
-      reused_prompt_tokens);
+      reused_prompt_tokens,
+      slow_inter_token_us);
 }
 
 struct ProgressEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/daemon/hostadmin.cpp
+++ b/src/daemon/hostadmin.cpp
@@ -66,6 +66,7 @@
             parts.relay.stats(),
             parts.permits->status(),
             parts.claims->status(),
+            parts.placement->status(),
             SteadyClock::now() - parts.started};
 }
 
--- a/src/daemon/hostoptions.cpp
+++ b/src/daemon/hostoptions.cpp
@@ -47,6 +47,7 @@
     options.http.idleTimeout = limits.idleLimit;
     options.requests = limits.queuedRequests;
     options.memoryBytes = limits.answerBytes;
+    options.retryBudget.earnedPerSuccess = limits.retryRatio;
     options.engineBounds.connect = limits.connectLimit;
     options.engineBounds.silence = limits.streamSilenceLimit;
     options.serviceBounds.connect = limits.connectLimit;
@@ -66,6 +67,13 @@
     return options;
 }
 
+PlacementServiceOptions placementOptions(const Settings &settings)
+{
+    PlacementServiceOptions options;
+    options.self = settings.host;
+    return options;
+}
+
 LedgerHostOptions ledgerOptions(const Settings &settings)
 {
     LedgerHostOptions options;
--- a/src/daemon/hostparts.h
+++ b/src/daemon/hostparts.h
@@ -10,6 +10,8 @@
 #include "daemon/explaingather.h"
 #include "ledger/ledgerhost.h"
 #include "membership/membershipservice.h"
+#include "placement/endpointorders.h"
+#include "placement/placementservice.h"
 #include "platform/objectclient.h"
 #include "preset/presetservice.h"
 #include "relay/relay.h"
@@ -27,6 +29,7 @@
 using HostPresets = PresetService<SteadyClock, HostObjects, HostNetwork>;
 using HostPermits = ArbiterHost<SteadyClock, HostNetwork, EndpointPool>;
 using HostClaims = LedgerHost<SteadyClock, HostObjects, HostNetwork>;
+using HostPlacement = PlacementService<SteadyClock, HostObjects, HttpEndpointOrders>;
 using HostRelay = Relay<SteadyClock, HostPermits, HostClaims>;
 
 struct HostParts
@@ -49,6 +52,8 @@
     std::shared_ptr<HostPermits> permits;
     std::shared_ptr<HostClaims> claims;
     HostRelay relay;
+    HttpEndpointOrders endpointOrders;
+    std::shared_ptr<HostPlacement> placement;
     std::shared_ptr<ExplainGather<SteadyClock, HostNetwork>> explain;
     DrainSequence drain;
     bool platformReached = false;
--- a/src/daemon/hostruntime.cpp
+++ b/src/daemon/hostruntime.cpp
@@ -55,6 +55,8 @@
           metrics,
           spans,
           settings.host)
+    , endpointOrders(context.get_executor())
+    , placement(std::make_shared<HostPlacement>(context, objects, endpointOrders, placementOptions(settings)))
     , explain(std::make_shared<ExplainGather<SteadyClock, HostNetwork>>(context.get_executor(), network, spans, settings.host))
     , drain(drainOptions(settings))
 {
@@ -141,6 +143,7 @@
         m_parts.presets->onChange([this](const PresetPointer &preset) {
             m_log.info("Preset " + preset->preset.name.text() + " is in force, version " + std::to_string(preset->version) + ".");
             m_parts.permits->setPreset(preset);
+            m_parts.placement->setRules(preset->preset.placement);
             m_parts.members.setPresetVersion(preset->version);
         });
     }
@@ -152,6 +155,7 @@
         m_parts.permits->setDomains(hostDomains());
         m_parts.permits->setHosts(live);
         m_parts.claims->setHosts(live);
+        m_parts.placement->setHosts(live);
         m_parts.presets->setHosts(m_parts.settings.host, livePeers(live));
         pollServedShards();
     }
@@ -212,9 +216,22 @@
         for (const ShardId &shard : m_shards) {
             m_parts.permits->setEndpoints(shard, m_parts.directory.endpointsOf(shard));
         }
+        m_parts.placement->setEndpoints(orderedEndpoints());
         pollServedShards();
     }
 
+    /** Engines that take orders: one that leaves is left as it is. */
+    std::vector<OrderedEndpoint> orderedEndpoints() const
+    {
+        std::vector<OrderedEndpoint> ordered;
+        for (const Endpoint &endpoint : m_parts.directory.all()) {
+            if (endpoint.kind == EndpointKind::Engine && endpoint.state == EndpointState::Live) {
+                ordered.push_back({endpoint.id, endpoint.domain, endpoint.address, endpoint.port, endpoint.checksFencing});
+            }
+        }
+        return ordered;
+    }
+
     /** Only the arbiter's host asks a shard's endpoints, so that their number does not grow with the fleet. */
     void pollServedShards()
     {
@@ -324,6 +341,7 @@
         }
         m_poller->stop();
         m_parts.presets->stop();
+        m_parts.placement->stop();
         m_parts.claims->stop();
         m_parts.permits->stop();
         m_parts.members.stop();
--- a/src/daemon/statusreport.cpp
+++ b/src/daemon/statusreport.cpp
@@ -60,6 +60,22 @@
     return {{"open", ledger.desk.open}, {"running", ledger.desk.running}, {"unavailable", ledger.desk.unavailable}, {"writes_for", std::move(writers)}};
 }
 
+/** Only the domains whose lease this host holds: the others' owners tell theirs. */
+boost::json::array placementJson(const std::map<FailureDomain, DomainStatus> &placement)
+{
+    boost::json::array rows;
+    for (const auto &[domain, status] : placement) {
+        if (status.lease.held) {
+            rows.push_back(boost::json::object{{"domain", domain.text()},
+                                               {"fencing", status.lease.fencing},
+                                               {"settled", status.placement.settled},
+                                               {"changing", status.placement.changing},
+                                               {"unknown", status.placement.unknown}});
+        }
+    }
+    return rows;
+}
+
 boost::json::object memberJson(const Member &member)
 {
     return {{"host", member.host.text()},
@@ -97,7 +113,8 @@
                                                     {"connections", report.relay.connections},
                                                     {"memory_bytes", report.relay.memoryBytes}}},
                                {"shards", std::move(shards)},
-                               {"ledger", ledgerJson(report.ledger)}};
+                               {"ledger", ledgerJson(report.ledger)},
+                               {"places_for", placementJson(report.placement)}};
 }
 
 boost::json::value hostsJson(const Member &self, std::span<const Member> members)
--- a/src/relay/relaycall.cpp
+++ b/src/relay/relaycall.cpp
@@ -409,6 +409,7 @@
     release.meanInterToken = action.meanInterToken;
     release.tokens = action.tokens;
     release.reusedPromptTokens = action.reusedPromptTokens;
+    release.slowInterToken = action.slowInterToken;
     m_context->ports.release(m_request.shard, release);
 }
 
--- a/src/relay/requestlife.cpp
+++ b/src/relay/requestlife.cpp
@@ -111,7 +111,7 @@
         // or is in use, and a second release would free a slot that is not free.
         if (grant.id.attempt == m_attempt && !m_grantTaken) {
             m_grantTaken = true;
-            actions.push_back(ReleasePermit{m_attempt, grant.endpoint, ReleaseKind::Unused, {}, {}, 0, 0});
+            actions.push_back(ReleasePermit{m_attempt, grant.endpoint, ReleaseKind::Unused, {}, {}, 0, 0, {}});
         }
         return actions;
     }
@@ -262,6 +262,8 @@
     }
     if (m_facts.tokens == 0) {
         m_facts.firstTokenAt = now;
+    } else {
+        m_facts.gaps.add(now - m_facts.lastTokenAt);
     }
     m_facts.tokens = offset;
     m_facts.lastTokenAt = now;
@@ -481,7 +483,7 @@
     if (!m_permitHeld) {
         return;
     }
-    ReleasePermit released{m_attempt, m_endpoint, kind, {}, {}, m_facts.tokens, m_facts.reusedPromptTokens};
+    ReleasePermit released{m_attempt, m_endpoint, kind, {}, {}, m_facts.tokens, m_facts.reusedPromptTokens, m_facts.gaps.percentile95()};
     if (m_facts.tokens > 0) {
         released.firstToken = m_facts.firstTokenAt - m_facts.sentAt;
     }
--- a/src/relay/requestlife.h
+++ b/src/relay/requestlife.h
@@ -31,6 +31,7 @@
 
 #include "arbiter/permit.h"
 #include "ledger/claim.h"
+#include "relay/gapquantile.h"
 #include "relay/outcome.h"
 #include "relay/retrybudget.h"
 #include "relay/streambuffer.h"
@@ -128,6 +129,7 @@
     Duration meanInterToken{};
     std::uint32_t tokens = 0;
     std::uint32_t reusedPromptTokens = 0;
+    Duration slowInterToken{}; ///< 95th percentile
 };
 /** A run starts over at offset 1. */
 struct RestartStream
@@ -216,6 +218,7 @@
         TimePoint sentAt;
         TimePoint firstTokenAt;
         TimePoint lastTokenAt;
+        GapQuantile gaps;
         std::uint32_t reusedPromptTokens = 0;
     };
 
--- a/src/routing/adaptivelimit.h
+++ b/src/routing/adaptivelimit.h
@@ -3,10 +3,11 @@
 // How many pieces of work one engine may run at once, found from the token times it delivers.
 //
 // A batch that is too large shows as inter-token time above its target; one that is too small wastes bought
-// capacity. Each finished stream tells the batch it ran in (its mean over the stream) and its mean
-// inter-token time. From them follows the batch at which the time would meet the target, if it were
-// proportional; the limit moves a step towards that batch, about the whole way in one limit's worth of
-// samples. The step is a gradient step; the endpoint's real line has a positive offset, so the
+// capacity. Each finished stream tells the batch it ran in (its mean over the stream) and the 95th
+// percentile of its inter-token times, which is what targets are about: other callers' prompts are prefilled
+// between tokens, and with means the limit settled where every twentieth gap was late. From them follows the
+// batch at which the time would meet the target, if it were proportional; the limit moves a step towards that
+// batch, about the whole way in one limit's worth of samples. The step is a gradient step; the endpoint's real line has a positive offset, so the
 // proportional guess errs to the safe side of each move and the fixed point is exact.
 //
 // Why not additive increase with multiplicative decrease: see routingmeasure_test.cpp, which runs both on
@@ -30,7 +31,7 @@
 struct AdaptiveLimitOptions
 {
     Duration interTokenTarget = 76ms;
-    double aim = 0.9; ///< part of the target aimed at: targets are 95th percentiles, samples are means
+    double aim = 0.95; ///< part of the target aimed at: the batch goes on moving while a stream runs
     Duration firstTokenSlack = 480ms; ///< first-token time beyond prefill that counts as a queue in the engine
     double mostPerSlot = 1.5; ///< upper bound relative to the nominal slots
 };
@@ -39,7 +40,7 @@
 struct LimitSample
 {
     double batch = 0; ///< mean work in flight at the endpoint while it ran, itself included
-    Duration interToken{}; ///< zero: none seen
+    Duration interToken{}; ///< 95th percentile, or the mean where that is not told; zero: none seen
     Duration firstTokenDelay{}; ///< first-token time without the prompt's own prefill
 };
 
--- a/src/routing/endpointpool.cpp
+++ b/src/routing/endpointpool.cpp
@@ -368,7 +368,8 @@
         m_prefillLine.observe(computed, toSeconds(sample.firstToken));
     }
     const Duration prefill = fromSeconds(m_prefillLine.slope() * computed);
-    member.limit.observe({work.meanBatch, sample.meanInterToken, sample.firstToken - prefill});
+    const Duration interToken = sample.slowInterToken > Duration::zero() ? sample.slowInterToken : sample.meanInterToken;
+    member.limit.observe({work.meanBatch, interToken, sample.firstToken - prefill});
     learnSpeed(now, member, m_tokenLine, work.meanBatch, sample.meanInterToken, tokenGain(sample.tokens));
     learnPrefix(now, member, sample, work);
 }
