--- a/src/arbiter/permitdesk_test.cpp
+++ b/src/arbiter/permitdesk_test.cpp
@@ -191,7 +191,7 @@
     {
         return !m_down.contains(host) && !m_frozen.contains(host);
     }
-    void transmit(const HostId &arbiter, std::variant<PermitRequests, PermitAnswers> content)
+    void transmit(const HostId &arbiter, const std::variant<PermitRequests, PermitAnswers> &content)
     {
         const int copies = m_random.uniform() < m_chaos.loss ? 0 : m_random.uniform() < m_chaos.doubling ? 2 : 1;
         for (int i = 0; i < copies; ++i) {
