--- a/src/daemon/hostparts.h
+++ b/src/daemon/hostparts.h
@@ -29,7 +29,7 @@
 using HostPresets = PresetService<SteadyClock, HostObjects, HostNetwork>;
 using HostPermits = ArbiterHost<SteadyClock, HostNetwork, EndpointPool>;
 using HostClaims = LedgerHost<SteadyClock, HostObjects, HostNetwork>;
-using HostPlacement = PlacementService<SteadyClock, HostObjects, HttpEndpointOrders>;
+using HostPlacement = PlacementService<SteadyClock, HostObjects, HttpEndpointOrders<SteadyClock>>;
 using HostRelay = Relay<SteadyClock, HostPermits, HostClaims>;
 
 struct HostParts
@@ -52,7 +52,7 @@
     std::shared_ptr<HostPermits> permits;
     std::shared_ptr<HostClaims> claims;
     HostRelay relay;
-    HttpEndpointOrders endpointOrders;
+    HttpEndpointOrders<SteadyClock> endpointOrders;
     std::shared_ptr<HostPlacement> placement;
     std::shared_ptr<ExplainGather<SteadyClock, HostNetwork>> explain;
     DrainSequence drain;
