--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -36,6 +36,8 @@
 
 inline constexpr std::size_t maxMembers = 1024;
 inline constexpr std::size_t maxEndpointFacts = 512;
+/** A tick this many periods late means that the process stood still; so long without a datagram, that it may be deaf. */
+inline constexpr int stallPeriods = 2;
 
 struct MembershipSettings
 {
@@ -164,8 +166,6 @@
     };
 
     MembershipActions takeActions();
-    /** Ticks this many periods late mean that the process stood still; so long without a datagram, that it may be deaf. */
-    static constexpr int stallPeriods = 2;
     /** Bits of the number: the rounds in which doubling reaches that many hosts. */
     static std::size_t log2Ceil(std::size_t count);
     bool active() const
