--- a/src/placement/placement_test.cpp
+++ b/src/placement/placement_test.cpp
@@ -2,6 +2,11 @@
 #include "placement/placementservice.h"
 #include "platform/objectclient.h"
 
+#include <boost/asio/buffers_iterator.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 using namespace Rhubarbwind;
--- a/src/placement/placementservice.h
+++ b/src/placement/placementservice.h
@@ -70,6 +70,7 @@
     void setEndpoints(std::span<const OrderedEndpoint> endpoints)
     {
         std::map<FailureDomain, std::vector<OrderedEndpoint>> byDomain;
+        m_endpoints.clear();
         for (const OrderedEndpoint &endpoint : endpoints) {
             byDomain[endpoint.domain].push_back(endpoint);
             m_endpoints[endpoint.id] = endpoint;
