--- a/src/load/load_test.cpp
+++ b/src/load/load_test.cpp
@@ -265,6 +265,8 @@
     CHECK(total.goodTokens == 10);
     CHECK(total.deliveredTokens == 20);
     CHECK(total.wastedTokens() == 2 + 5);
+    CHECK(tally.customers()[0].sent == 4);
+    CHECK(tally.customers()[0].attained == 1);
 }
 
 TEST_CASE("a run against a stand-in engine finds every answer whole", "[load]")
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -129,9 +129,20 @@
     }
 }
 
+void printCustomers(std::ostream &out, const Mix &mix, const Tally &tally)
+{
+    out << "customers, within targets and not-run of sent:";
+    for (std::size_t index = 0; index < mix.customers.size(); ++index) {
+        const CustomerTally &of = tally.customers()[index];
+        out << "  " << mix.customers[index].name << " " << of.attained << "+" << of.notRun << "/" << of.sent;
+    }
+    out << "\n";
+}
+
 } // namespace
 
-void printTable(std::ostream &out, const std::string &label, const Tally &tally, const LoadRunReport &run, const std::vector<BrokenPromise> &broken)
+void printTable(
+    std::ostream &out, const std::string &label, const Mix &mix, const Tally &tally, const LoadRunReport &run, const std::vector<BrokenPromise> &broken)
 {
     out << "== " << label << "\n"
         << "class                tier   sent  attain  whole not-run broken  left  late  slow  ttft50  ttft95  ttft99   itl50   itl95  asked/s   good/s  "
@@ -143,6 +154,7 @@
     const ClassTally total = tally.total();
     printClass(out, total, "", run.elapsed);
     printShed(out, tally);
+    printCustomers(out, mix, tally);
     out << "reasons:";
     for (const auto &[reason, count] : total.reasons) {
         out << "  " << reason << ": " << count;
--- a/src/load/rhubarbwindload_main.cpp
+++ b/src/load/rhubarbwindload_main.cpp
@@ -94,7 +94,7 @@
     LoadRun run(mix, planArrivals(mix, arrivals), std::move(options));
     const LoadRunReport report = run.run(tally);
     const std::vector<BrokenPromise> broken = brokenPromises(tally, parsed.count("expect-whole") > 0);
-    printTable(std::cout, arrivals.label, tally, report, broken);
+    printTable(std::cout, arrivals.label, mix, tally, report, broken);
     if (const std::string path = parsed["json"].as<std::string>(); !path.empty()) {
         std::ofstream file(path, std::ios::app);
         printJsonLines(file, arrivals.label, tally, report);
--- a/src/load/tally.cpp
+++ b/src/load/tally.cpp
@@ -54,6 +54,7 @@
 
 Tally::Tally(const Mix &mix)
     : m_mix(mix)
+    , m_customers(mix.customers.size())
 {
     for (const MixClass &rule : mix.classes) {
         ClassTally tally;
@@ -74,7 +75,11 @@
     if (!result.reason.empty()) {
         ++tally.reasons[result.reason];
     }
+    CustomerTally &customer = m_customers[request.customerIndex];
+    ++customer.sent;
+    customer.notRun += result.outcome == CallerOutcome::NotRun ? 1 : 0;
     if (withinTargets(rule, result)) {
+        ++customer.attained;
         ++tally.attained;
         tally.goodTokens += result.tokens;
     }
