--- a/src/standins/endpoints_test.cpp
+++ b/src/standins/endpoints_test.cpp
@@ -68,7 +68,7 @@
             Http::request<Http::string_body> request;
         };
         const std::shared_ptr<Call> call = std::make_shared<Call>(m_context);
-        const std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>();
+        std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>();
         call->request = Http::request<Http::string_body>(verb, target, 11, std::move(body));
         for (const auto &[name, value] : headers) {
             call->request.set(name, value);
