--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -36,6 +36,8 @@
 
 inline constexpr std::size_t maxMembers = 1024;
 inline constexpr std::size_t maxEndpointFacts = 512;
+/** A tick this many periods late means that the process stood still; so long without a datagram, that it may be deaf. */
+inline constexpr int stallPeriods = 2;
 
 struct MembershipSettings
 {
@@ -49,7 +51,7 @@
     Duration deafGrace = 8s; ///< how long a host that hears nobody at all withholds accusations
     std::size_t indirectProbes = 3;
     std::size_t gossipFanout = 2;
-    std::size_t gossipBytes = 700; ///< most in one gossip datagram; with the interval and fanout it bounds the cost of any amount of news
+    std::size_t newsBytes = 700; ///< a datagram takes no more news beyond this size, which bounds the cost of any amount of it
     std::size_t extraTransmissions = 3; ///< a telling is sent this and log2(hosts) times by each host
     std::size_t suspicionPeriods = 2; ///< suspicion time is this and log2(hosts) periods
 };
@@ -164,8 +166,6 @@
     };
 
     MembershipActions takeActions();
-    /** Ticks this many periods late mean that the process stood still; so long without a datagram, that it may be deaf. */
-    static constexpr int stallPeriods = 2;
     /** Bits of the number: the rounds in which doubling reaches that many hosts. */
     static std::size_t log2Ceil(std::size_t count);
     bool active() const
@@ -192,7 +192,7 @@
     // Probing.
     void noteStall(TimePoint now);
     void restartSuspicions(TimePoint now);
-    void withdrawAccusations();
+    void withdrawDeaths();
     void finishProbe(TimePoint now);
     void askOthers(const Probe &probe);
     void startProbe(TimePoint now);
