Let the ledger's pace be set, read the platform out of step, raise the limit of open files

Change: ledger.append_interval_ms; half to one and a half of the interval between reads; the soft limit of files is raised to the hard one at start.

--- a/src/daemon/hostruntime.cpp
+++ b/src/daemon/hostruntime.cpp
@@ -190,7 +190,7 @@
             if (listed.has_value()) {
                 takeHostList(listed.value());
             }
-            after(m_hostListTimer, m_parts.settings.platform.hostListInterval, [this] { readHostList(); });
+            after(m_hostListTimer, jittered(m_parts.settings.platform.hostListInterval), [this] { readHostList(); });
         });
     }
 
@@ -291,7 +291,7 @@
             if (ordered.has_value()) {
                 takeDrainOrders(ordered.value());
             }
-            after(m_drainOrderTimer, drainOrderInterval, [this] { readDrainOrders(); });
+            after(m_drainOrderTimer, jittered(drainOrderInterval), [this] { readDrainOrders(); });
         });
     }
 
@@ -350,6 +350,12 @@
         m_parts.context.stop();
     }
 
+    /** Half to one and a half of the interval: hosts that started together must not read the platform in step. */
+    Duration jittered(Duration interval)
+    {
+        return fromSeconds(toSeconds(interval) * (0.5 + m_random.uniform()));
+    }
+
     template <class Action>
     void after(SessionTimer<SteadyClock> &timer, Duration wait, Action action)
     {
@@ -369,6 +375,7 @@
     }
 
     Log m_log{LogPart::Daemon};
+    Random m_random{std::hash<std::string>()(freshId())};
     HostParts m_parts;
     std::shared_ptr<EndpointPoller<SteadyClock>> m_poller;
     AdminFront m_admin;
--- a/src/daemon/rhubarbwindd_main.cpp
+++ b/src/daemon/rhubarbwindd_main.cpp
@@ -5,6 +5,8 @@
 #include <iostream>
 #include <sstream>
 
+#include <sys/resource.h>
+
 #include <boost/asio/signal_set.hpp>
 #include <cxxopts.hpp>
 
@@ -55,8 +57,19 @@
     return "The host can't start.";
 }
 
+/** An arbiter of a large fleet holds a link with every host; the usual soft limit of 1,024 files is below that. */
+void raiseFileLimit()
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        limit.rlim_cur = limit.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
 int runHost(const Settings &settings)
 {
+    raiseFileLimit();
     configureLogs(settings.logLayout == "json" ? LogLayout::Json : LogLayout::Text, parseLogLevel(settings.logLevel).value());
     const Log log(LogPart::Daemon);
     boost::asio::io_context context(1);
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -167,6 +167,7 @@
     reader.object("arbiter", [&](JsonReader &inner) { readArbiter(inner, target.arbiter); });
     reader.object("ledger", [&](JsonReader &inner) {
         inner.integer("shards", target.ledger.shards, 1, 64);
+        inner.milliseconds("append_interval_ms", target.ledger.appendInterval, 0ms, 10s);
         inner.milliseconds("retention_ms", target.ledger.retention, 1min, 30 * 24h);
     });
     reader.objects("hop_costs", mostHopCosts, [&](JsonReader &inner) { readHopCost(inner, target.hopCosts); });
