Read presets through JsonReader and refuse doubled keys in settings

Cause: presetjson.cpp held its own reader of JSON objects, its own fault type, bound and wording beside base/jsonreader.h. Doubled keys were refused in presets only; of a doubled key in the settings the JSON library kept the last.

Ruled out: doubled keys as a fault of parseDocument(). It also reads what engines and peers send, at one more pass each, and their documents would be refused anew. So readDocument() is the one way for what people write, and parseDocument() stays for programs. Keeping two wordings behind one type was ruled out as well.

Change: JsonReader takes rules for texts, required integers and objects, and names each faulty element of a list of texts. PresetFault and PresetFaults are names of the DocumentFault types. The search for doubled keys moves into base unchanged.

What is seen: a preset's missing key now shows the value `missing` and what the key allows, where it showed an empty value and "this key must be given"; a line of a fault reads `path: value; allowed: ...` for both documents. What is accepted stays, but for doubled keys in the settings.

--- a/src/base/jsonreader.cpp
+++ b/src/base/jsonreader.cpp
@@ -1,10 +1,14 @@
 #include "base/jsonreader.h"
 
+#include "base/duplicatekeys.h"
+
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <cmath>
 
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <boost/json/stream_parser.hpp>
 
 namespace Rhubarbwind
 {
@@ -17,6 +21,12 @@
 
 std::string shown(const boost::json::value &value)
 {
+    if (value.is_object()) {
+        return "an object";
+    }
+    if (value.is_array()) {
+        return "an array";
+    }
     std::string text = boost::json::serialize(value);
     if (text.size() > longestShownValue) {
         text.resize(longestShownValue);
@@ -30,13 +40,16 @@
     return "from " + least + " to " + most;
 }
 
-std::string shortNumber(double number)
+} // namespace
+
+std::string shortestNumber(double number)
 {
-    return shown(boost::json::value(number));
+    constexpr std::size_t longestNumber = 32;
+    std::array<char, longestNumber> text{};
+    const std::to_chars_result printed = std::to_chars(text.data(), text.data() + text.size(), number);
+    return {text.data(), printed.ptr};
 }
 
-} // namespace
-
 std::string describeFaults(const DocumentFaults &faults)
 {
     std::string lines;
@@ -53,12 +66,17 @@
     options.allow_comments = true;
     options.allow_trailing_commas = true;
     options.max_depth = deepestNesting;
+    boost::json::stream_parser parser({}, options);
     boost::json::error_code error;
-    boost::json::value document = boost::json::parse(boost::json::string_view(text.data(), text.size()), error, boost::json::storage_ptr(), options);
-    if (error) {
-        return DocumentFaults{{"", error.message(), "a JSON document; comments and trailing commas are allowed"}};
+    const std::size_t used = parser.write_some(text.data(), text.size(), error);
+    if (!error && used == text.size()) {
+        parser.finish(error);
+    }
+    if (error || used != text.size() || !parser.done()) {
+        const std::string cause = error ? error.message() : "text after the end";
+        return DocumentFaults{{"", cause + " at byte " + std::to_string(used), "one JSON document; comments and trailing commas are allowed"}};
     }
-    return document;
+    return parser.release();
 }
 
 JsonReader::JsonReader(const boost::json::value &value, std::string path, DocumentFaults &faults)
@@ -92,14 +110,35 @@
     return m_object == nullptr ? nullptr : m_object->if_contains(key);
 }
 
+const boost::json::value *JsonReader::find(std::string_view key, bool required, const std::string &allowed)
+{
+    const boost::json::value *value = find(key);
+    if (value == nullptr && required && m_object != nullptr) {
+        fault(key, "missing", allowed);
+    }
+    return value;
+}
+
+const boost::json::array *JsonReader::findArray(std::string_view key, std::size_t most, std::string_view elements, bool required)
+{
+    const std::string allowed = "an array of at most " + std::to_string(most) + " " + std::string(elements);
+    const boost::json::value *value = find(key, required, allowed);
+    if (value == nullptr) {
+        return nullptr;
+    }
+    const boost::json::array *array = value->if_array();
+    if (array == nullptr || array->size() > most) {
+        fault(key, array == nullptr ? shown(*value) : std::to_string(array->size()) + " elements", allowed);
+        return nullptr;
+    }
+    return array;
+}
+
 void JsonReader::text(std::string_view key, std::string &target, std::size_t longest, bool required)
 {
     const std::string allowed = "a text of 1 to " + std::to_string(longest) + " bytes";
-    const boost::json::value *value = find(key);
+    const boost::json::value *value = find(key, required, allowed);
     if (value == nullptr) {
-        if (required && m_object != nullptr) {
-            fault(key, "missing", allowed);
-        }
         return;
     }
     const boost::json::string *found = value->if_string();
@@ -110,6 +149,20 @@
     target.assign(found->data(), found->size());
 }
 
+void JsonReader::text(std::string_view key, std::string &target, const TextRule &rule, bool required)
+{
+    const boost::json::value *value = find(key, required, std::string(rule.allowed));
+    if (value == nullptr) {
+        return;
+    }
+    const boost::json::string *found = value->if_string();
+    if (found == nullptr || !rule.accepts(std::string_view(*found))) {
+        fault(key, shown(*value), std::string(rule.allowed));
+        return;
+    }
+    target.assign(found->data(), found->size());
+}
+
 void JsonReader::flag(std::string_view key, bool &target)
 {
     const boost::json::value *value = find(key);
@@ -134,22 +187,24 @@
         target = found;
         return;
     }
-    fault(key, shown(*value), "a number " + range(shortNumber(least), shortNumber(most)));
+    fault(key, shown(*value), "a number " + range(shortestNumber(least), shortestNumber(most)));
 }
 
-void JsonReader::whole(std::string_view key, std::uint64_t &target, std::uint64_t least, std::uint64_t most)
+void JsonReader::whole(std::string_view key, std::uint64_t &target, std::uint64_t least, std::uint64_t most, bool required)
 {
     const boost::json::value *value = find(key);
-    if (value == nullptr) {
+    if (value == nullptr && (!required || m_object == nullptr)) {
         return;
     }
-    boost::json::error_code error;
-    const std::uint64_t found = value->is_double() ? 0 : value->to_number<std::uint64_t>(error);
-    if (!error && !value->is_double() && found >= least && found <= most) {
-        target = found;
-        return;
+    if (value != nullptr && !value->is_double()) {
+        boost::json::error_code error;
+        const std::uint64_t found = value->to_number<std::uint64_t>(error);
+        if (!error && found >= least && found <= most) {
+            target = found;
+            return;
+        }
     }
-    fault(key, shown(*value), "a whole number " + range(std::to_string(least), std::to_string(most)));
+    fault(key, value == nullptr ? "missing" : shown(*value), "a whole number " + range(std::to_string(least), std::to_string(most)));
 }
 
 void JsonReader::milliseconds(std::string_view key, Duration &target, Duration least, Duration most)
@@ -185,9 +240,9 @@
     fault(key, shown(*value), "one of " + allowed);
 }
 
-void JsonReader::object(std::string_view key, const std::function<void(JsonReader &)> &read)
+void JsonReader::object(std::string_view key, const std::function<void(JsonReader &)> &read, bool required)
 {
-    const boost::json::value *value = find(key);
+    const boost::json::value *value = find(key, required, "an object");
     if (value == nullptr) {
         return;
     }
@@ -198,17 +253,8 @@
 
 void JsonReader::objects(std::string_view key, std::size_t most, const std::function<void(JsonReader &)> &read, bool required)
 {
-    const std::string allowed = "an array of at most " + std::to_string(most) + " objects";
-    const boost::json::value *value = find(key);
-    if (value == nullptr) {
-        if (required && m_object != nullptr) {
-            fault(key, "missing", allowed);
-        }
-        return;
-    }
-    const boost::json::array *array = value->if_array();
-    if (array == nullptr || array->size() > most) {
-        fault(key, shown(*value), allowed);
+    const boost::json::array *array = findArray(key, most, "objects", required);
+    if (array == nullptr) {
         return;
     }
     std::size_t index = 0;
@@ -221,19 +267,25 @@
 
 void JsonReader::texts(std::string_view key, std::vector<std::string> &target, std::size_t most)
 {
-    const boost::json::value *value = find(key);
-    if (value == nullptr) {
-        return;
-    }
-    const boost::json::array *array = value->if_array();
-    const bool good = array != nullptr && array->size() <= most && std::ranges::all_of(*array, [](const boost::json::value &item) { return item.is_string(); });
-    if (!good) {
-        fault(key, shown(*value), "an array of at most " + std::to_string(most) + " texts");
+    texts(key, target, most, {[](std::string_view) { return true; }, "a text"});
+}
+
+void JsonReader::texts(std::string_view key, std::vector<std::string> &target, std::size_t most, const TextRule &rule)
+{
+    const boost::json::array *array = findArray(key, most, "texts", false);
+    if (array == nullptr) {
         return;
     }
     target.clear();
+    std::size_t index = 0;
     for (const boost::json::value &item : *array) {
-        target.emplace_back(item.get_string().data(), item.get_string().size());
+        const std::string place = std::string(key) + "[" + std::to_string(index++) + "]";
+        const boost::json::string *found = item.if_string();
+        if (found == nullptr || !rule.accepts(std::string_view(*found))) {
+            fault(place, shown(item), std::string(rule.allowed));
+            continue;
+        }
+        target.emplace_back(found->data(), found->size());
     }
 }
 
@@ -250,4 +302,20 @@
     m_object = nullptr;
 }
 
+DocumentFaults readDocument(std::string_view text, const std::function<void(JsonReader &)> &read)
+{
+    const Result<boost::json::value, DocumentFaults> document = parseDocument(text);
+    if (document.has_error()) {
+        return document.error();
+    }
+    DocumentFaults faults;
+    for (std::string &path : findDuplicateKeys(text, maxFaults)) {
+        faults.push_back({std::move(path), "given twice", "each key once"});
+    }
+    JsonReader reader(document.value(), "", faults);
+    read(reader);
+    reader.finish();
+    return faults;
+}
+
 } // namespace Rhubarbwind
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -179,17 +179,10 @@
 
 Result<Settings, DocumentFaults> parseSettings(std::string_view text)
 {
-    const Result<boost::json::value, DocumentFaults> document = parseDocument(text);
-    if (document.has_error()) {
-        return document.error();
-    }
-    DocumentFaults faults;
     Settings settings;
-    JsonReader reader(document.value(), "", faults);
-    readAll(reader, settings);
-    reader.finish();
+    DocumentFaults faults = readDocument(text, [&](JsonReader &reader) { readAll(reader, settings); });
     if (!faults.empty()) {
-        return faults;
+        return failure(std::move(faults));
     }
     return settings;
 }
--- a/src/settings/settings_test.cpp
+++ b/src/settings/settings_test.cpp
@@ -59,6 +59,17 @@
     }
 }
 
+TEST_CASE("a key that stands twice is a fault, though the last one is valid")
+{
+    // An operator writes the platform's time limit anew and forgets the old line. The JSON library keeps the last of
+    // the two without a word, so the host would run with a limit that nobody looked at; the document is refused.
+    const Result<Settings, DocumentFaults> parsed =
+        parseSettings(replaced(goodDocument, "\"timeout_ms\": 500", "\"timeout_ms\": 500, /* again */ \"timeout\\u005fms\": 600"));
+    REQUIRE(parsed.has_error());
+    REQUIRE(parsed.error().size() == 1);
+    CHECK(parsed.error()[0].path == "platform.timeout_ms");
+}
+
 TEST_CASE("truncated and arbitrary documents are refused, never fatal")
 {
     rc::prop("a prefix of a good document has faults", [] {
