Serve the stand-in platform through the shared stand-in HTTP code

Cause: platformserver.cpp had its own acceptor, connection, reading of faults and of query parameters beside standinhttp, which the engine and the service use.

Ruled out: to give engines and services the platform's 413 for a body over the bound. They close the connection, and callers' verdicts differ between the two; so the answer is a limit of the listener (StandinLimits) and each keeps its own.

Change: the listener counts connections and can drop them all; a connection can be held open without an answer. PlatformApi carries calls out and has no sockets, PlatformCall keeps what waits (watches, late answers), faults and request targets are files of their own. queryNumber() gives way to RequestTarget.

What is seen: the platform's answers carry the Server header of the other stand-ins. Nothing else changes; no test is touched.

--- a/src/standins/engineserver.cpp
+++ b/src/standins/engineserver.cpp
@@ -3,6 +3,7 @@
 // The server holds no token text: what a reader has not yet got is made again from the run's answer key, so a
 // resume from any offset costs no memory. Readers are removed as soon as a write to them fails; the run goes on.
 
+#include "standins/requesttarget.h"
 #include "telemetry/log.h"
 
 #include <algorithm>
@@ -315,7 +316,7 @@
 template <Clock ClockType>
 StandinReply EngineServer<ClockType>::cacheEventsReply(std::string_view target) const
 {
-    const std::uint64_t after = queryNumber(target, "after", 0);
+    const std::uint64_t after = RequestTarget(target).number("after");
     boost::json::array events;
     std::uint64_t next = after;
     for (const CacheNews &news : m_model.cache().newsAfter(after, cacheEventsPerAnswer, ClockType::now())) {
--- a/src/standins/standinhttp.cpp
+++ b/src/standins/standinhttp.cpp
@@ -52,21 +52,6 @@
     return {value.data(), value.size()};
 }
 
-std::uint64_t queryNumber(std::string_view target, std::string_view name, std::uint64_t otherwise)
-{
-    std::size_t at = target.find('?');
-    while (at != std::string_view::npos) {
-        target.remove_prefix(at + 1);
-        if (target.starts_with(name) && target.size() > name.size() && target[name.size()] == '=') {
-            std::uint64_t value = otherwise;
-            std::from_chars(target.data() + name.size() + 1, target.data() + target.size(), value);
-            return value;
-        }
-        at = target.find('&');
-    }
-    return otherwise;
-}
-
 double numberMember(const boost::json::object &object, std::string_view name, double otherwise)
 {
     const boost::json::value *value = object.if_contains(name);
@@ -98,9 +83,10 @@
     return value != nullptr && value->is_string() ? std::string(value->as_string()) : std::string();
 }
 
-StandinConnection::StandinConnection(tcp::socket socket, StandinHandler handler)
+StandinConnection::StandinConnection(tcp::socket socket, StandinHandler handler, const StandinLimits &limits)
     : m_stream(std::move(socket))
     , m_handler(std::move(handler))
+    , m_limits(limits)
 {
 }
 
@@ -114,11 +100,16 @@
 void StandinConnection::read()
 {
     m_parser.emplace();
-    m_parser->body_limit(maxBodyBytes);
+    m_parser->body_limit(m_limits.bodyBytes);
     Http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, std::size_t) {
         if (self->m_silent) {
             return;
         }
+        if (error == Http::error::body_limit && self->m_limits.answersTooLarge) {
+            self->m_keepAlive = false;
+            self->reply({Http::status::payload_too_large, {{"Content-Type", "application/json"}}, {}});
+            return;
+        }
         if (error) {
             self->drop();
             return;
@@ -232,8 +223,14 @@
     m_silent = true;
 }
 
-StandinListener::StandinListener(boost::asio::io_context &context, const tcp::endpoint &address)
+void StandinConnection::holdOpen()
+{
+    m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code &) { self->drop(); });
+}
+
+StandinListener::StandinListener(boost::asio::io_context &context, const tcp::endpoint &address, const StandinLimits &limits)
     : m_acceptor(context, address)
+    , m_limits(limits)
 {
 }
 
@@ -254,6 +251,15 @@
     m_acceptor.close(ignored);
 }
 
+void StandinListener::dropOpen()
+{
+    for (const std::weak_ptr<StandinConnection> &weak : m_connections) {
+        if (const std::shared_ptr<StandinConnection> connection = weak.lock()) {
+            connection->drop();
+        }
+    }
+}
+
 std::size_t StandinListener::silenceOpen(const StandinConnection *except)
 {
     std::size_t silenced = 0;
@@ -275,7 +281,8 @@
             return;
         }
         if (!error) {
-            const std::shared_ptr<StandinConnection> connection = std::make_shared<StandinConnection>(std::move(socket), self->m_handler);
+            ++self->m_accepted;
+            const std::shared_ptr<StandinConnection> connection = std::make_shared<StandinConnection>(std::move(socket), self->m_handler, self->m_limits);
             if (self->m_connections.size() >= sweepConnectionsAt) {
                 std::erase_if(self->m_connections, [](const std::weak_ptr<StandinConnection> &weak) { return weak.expired(); });
             }
