Give the engine and service stand-ins one base and all three one main frame

Ruled out: a base class with virtual calls for the two servers. They share values and a sequence, not a kind, so a member (EndpointStandin) does it; only their options inherit, so that callers set the same fields as before.

Change: EndpointStandin holds listener, counters, faults, drain and crash. engineanswers holds the texts of the engine's answers as plain functions. standinprogram holds what the three mains share.

With a part taken out standins_test fails for holdOpen (watched), dropOpen (a put after the restart) and losesAnswer (broken). It does not fail without wakeWatches.

--- a/src/standins/standinplatform_main.cpp
+++ b/src/standins/standinplatform_main.cpp
@@ -3,15 +3,9 @@
 #include "base/requestid.h"
 #include "preset/presetjson.h"
 #include "standins/platformserver.h"
-#include "telemetry/log.h"
+#include "standins/standinprogram.h"
 
-#include <boost/asio.hpp>
-#include <boost/json.hpp>
-#include <cxxopts.hpp>
-
-#include <charconv>
 #include <fstream>
-#include <iostream>
 #include <optional>
 #include <sstream>
 
@@ -20,13 +14,13 @@
 
 using namespace Rhubarbwind;
 
-constexpr int exitUsage = 2;
+constexpr const char *program = "standin-platform";
 
 std::optional<std::string> readFile(const std::string &path)
 {
     std::ifstream file(path, std::ios::binary);
     if (!file) {
-        std::cerr << "standin-platform: cannot read " << path << "\n";
+        std::cerr << program << ": cannot read " << path << "\n";
         return std::nullopt;
     }
     std::ostringstream text;
@@ -34,33 +28,19 @@
     return text.str();
 }
 
-bool setListen(const std::string &text, PlatformServerOptions &options)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos) {
-        return false;
-    }
-    options.ip = text.substr(0, colon);
-    const char *end = text.data() + text.size();
-    const std::from_chars_result read = std::from_chars(text.data() + colon + 1, end, options.port);
-    return read.ec == std::errc() && read.ptr == end;
-}
-
 bool setHosts(const std::string &path, PlatformServerOptions &options)
 {
     const std::optional<std::string> text = readFile(path);
     if (!text) {
         return false;
     }
-    boost::json::parse_options allowed;
-    allowed.allow_comments = true;
-    allowed.allow_trailing_commas = true;
-    boost::json::error_code error;
-    options.hosts = boost::json::parse(*text, error, {}, allowed);
-    if (error) {
-        std::cerr << "standin-platform: " << path << ": " << error.message() << "\n";
+    Result<boost::json::value, DocumentFaults> hosts = parseDocument(*text);
+    if (hosts.has_error()) {
+        std::cerr << program << ": " << path << ":\n" << describeFaults(hosts.error());
+        return false;
     }
-    return !error;
+    options.hosts = std::move(hosts.value());
+    return true;
 }
 
 bool setPreset(const std::string &path, PlatformServerOptions &options)
@@ -71,7 +51,7 @@
     }
     const Result<Preset, PresetFaults> preset = parsePreset(*text);
     if (preset.has_error()) {
-        std::cerr << "standin-platform: " << path << ":\n" << describeFaults(preset.error());
+        std::cerr << program << ": " << path << ":\n" << describeFaults(preset.error());
         return false;
     }
     const std::int64_t nowMs = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
@@ -81,72 +61,47 @@
 
 cxxopts::Options commandLine()
 {
-    cxxopts::Options line("standin-platform", "Stand-in for the platform: object API, host list, weight store. Keeps everything in memory.\n");
-    line.add_options()("listen", "address to listen on", cxxopts::value<std::string>()->default_value("127.0.0.1:7100"), "IP:PORT");
-    line.add_options()("hosts", "JSON file with the host list", cxxopts::value<std::string>(), "FILE");
-    line.add_options()("preset", "preset to put in force as version 1", cxxopts::value<std::string>(), "FILE");
-    line.add_options()("host-lag-ms", "how late the host list shows a change", cxxopts::value<std::uint32_t>()->default_value("0"), "MS");
-    line.add_options()("seed", "seed of the lost answers", cxxopts::value<std::uint64_t>()->default_value("1"), "N");
-    line.add_options()("help", "print this help");
-    return line;
+    cxxopts::Options options = standinCommandLine(program,
+                                                  "Stand-in for the platform: object API, host list, weight store. Keeps everything in memory.\n"
+                                                  "Faults: POST /standin/faults {\"outage\":true,\"latency_ms\":0,\"lose_answers\":0.1,\"silent_watches\":true,"
+                                                  "\"calls_per_second\":500,...}; POST /standin/hosts LIST; GET /standin/counters\n",
+                                                  "127.0.0.1:7100");
+    options.add_options()("hosts", "JSON file with the host list", cxxopts::value<std::string>(), "FILE");
+    options.add_options()("preset", "preset to put in force as version 1", cxxopts::value<std::string>(), "FILE");
+    options.add_options()("host-lag-ms", "how late the host list shows a change", cxxopts::value<std::uint32_t>()->default_value("0"), "MS");
+    return options;
 }
 
-/** Empty when the program should end with the exit code. */
-std::optional<PlatformServerOptions> optionsFrom(int argc, char **argv, int &exitCode)
+int run(const cxxopts::ParseResult &parsed)
 {
-    cxxopts::Options line = commandLine();
-    const cxxopts::ParseResult given = line.parse(argc, argv);
-    if (given.count("help") != 0) {
-        std::cout << line.help() << "\nFaults: POST /standin/faults {\"outage\":true,\"latency_ms\":0,\"lose_answers\":0.1,\"silent_watches\":true,"
-                  << "\"calls_per_second\":500,...}; POST /standin/hosts LIST; GET /standin/counters\n";
-        exitCode = 0;
-        return std::nullopt;
+    const Result<boost::asio::ip::tcp::endpoint, AddressError> listen = listenAddress(parsed);
+    if (!listen) {
+        return usageError(program, "--listen must be IP:PORT on 127.0.0.0/8");
     }
     PlatformServerOptions options;
-    options.hostLag = std::chrono::milliseconds(given["host-lag-ms"].as<std::uint32_t>());
-    options.seed = given["seed"].as<std::uint64_t>();
-    if (!setListen(given["listen"].as<std::string>(), options)) {
-        std::cerr << "standin-platform: --listen wants IP:PORT\n";
-        return std::nullopt;
-    }
-    if (given.count("hosts") != 0 && !setHosts(given["hosts"].as<std::string>(), options)) {
-        return std::nullopt;
-    }
-    if (given.count("preset") != 0 && !setPreset(given["preset"].as<std::string>(), options)) {
-        return std::nullopt;
-    }
-    return options;
-}
-
-int run(int argc, char **argv)
-{
-    int exitCode = exitUsage;
-    std::optional<PlatformServerOptions> options = optionsFrom(argc, argv, exitCode);
-    if (!options) {
-        return exitCode;
+    options.ip = listen.value().address().to_string();
+    options.port = listen.value().port();
+    options.hostLag = std::chrono::milliseconds(parsed["host-lag-ms"].as<std::uint32_t>());
+    options.seed = parsed["seed"].as<std::uint64_t>();
+    const bool read = (parsed.count("hosts") == 0 || setHosts(parsed["hosts"].as<std::string>(), options))
+        && (parsed.count("preset") == 0 || setPreset(parsed["preset"].as<std::string>(), options));
+    if (!read) {
+        return exitUsage;
     }
-    configureLogs(LogLayout::Text, LogLevel::Info);
     boost::asio::io_context context(1);
-    PlatformServer server(context, std::move(*options));
+    PlatformServer server(context, std::move(options));
     const Log log(LogPart::StandIn);
     log.info("platform listens on port " + std::to_string(server.port()));
-    boost::asio::signal_set signals(context, SIGINT, SIGTERM);
-    signals.async_wait([&](const boost::system::error_code &, int) {
+    runUntilSignal(context, Duration::zero(), [&server](const std::function<void()> &ended) {
         server.stop();
-        context.stop();
+        ended();
     });
-    context.run();
-    return 0;
+    return EXIT_SUCCESS;
 }
 
 } // namespace
 
 int main(int argc, char **argv)
 {
-    try {
-        return run(argc, argv);
-    } catch (const std::exception &error) {
-        std::cerr << "standin-platform: " << error.what() << "\n";
-        return exitUsage;
-    }
+    return standinMain(argc, argv, commandLine(), LogLevel::Info, run);
 }
