Test that a write wakes a platform watch that waits for it

Cause: no contract test failed when the stand-in platform's writes woke no watch; a waiting watch got its news at the end of its wait, and the tests waited with it. Change: a watch of 60 s must be answered by a write within the limit of a hang (20 s), and a watch of another prefix must not. Seen to fail: without the call of wakeWatches, "condition() false" at the await.

--- a/src/standins/platformcontract_test.cpp
+++ b/src/standins/platformcontract_test.cpp
@@ -239,6 +239,25 @@
     CHECK(bench.await(watched).error().kind == PlatformErrorKind::Unknown);
 }
 
+// A host's watch waits without news when another host puts a preset in force. The write must wake it: a watch
+// that is answered only at the end of its wait, here longer than a hang's limit, would show the change late.
+TEST_CASE("a write answers a watch that waits for it, and no watch of another prefix", "[contract]")
+{
+    Bench bench;
+    std::optional<PlatformResult<WatchBatch>> watched;
+    std::optional<PlatformResult<WatchBatch>> other;
+    bench.client->watch("preset/", 0, 60s, Bench::into(watched));
+    bench.client->watch("lease/", 0, 60s, Bench::into(other));
+    bench.runUntil([&] { return bench.server->counters().watches == 2; });
+    CHECK_FALSE(watched);
+    const ObjectVersion version = bench.put("preset/a", "1", WriteCondition::absent()).value();
+    const WatchBatch news = bench.await(watched).value();
+    REQUIRE(news.events.size() == 1);
+    CHECK(news.events[0].key == "preset/a");
+    CHECK(news.next == version);
+    CHECK_FALSE(other);
+}
+
 TEST_CASE("repeated and skipped watch events still leave a revision to go on from", "[contract]")
 {
     Bench bench;
