--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -82,7 +82,7 @@
 struct LedgerSettings
 {
     std::uint32_t shards = 4;
-    Duration appendInterval = 20ms; ///< least time between appends of a shard: keeps all shards within the platform's writes
+    Duration appendInterval = 100ms; ///< least time between appends of a shard: keeps all shards within the platform's writes
     Duration retention = 1h; ///< a repeat within this time is recognised
 };
 
