Space a shard's appends by 100 ms

Cause: a host's part of the platform's writes is 30 a second by default; four shards on one host with 20 ms between appends ran into it, and the back-off cost more than the spacing.

Change: 100 ms between a shard's appends. A claim to an idle shard still goes at once.

--- a/src/ledger/ledgerwriter.h
+++ b/src/ledger/ledgerwriter.h
@@ -51,7 +51,7 @@
     std::size_t keyLimit = 60'000; ///< most keys held; about 400 bytes each in the log, which a new writer lists whole
     Duration retention = 1h; ///< how long a key stays taken after its claim
     Duration endDelay = 200ms; ///< longest that an end waits for claims to ride along with
-    Duration appendInterval = 20ms; ///< least time between appends: four shards stay within 200 writes a second, for at most 20 ms more
+    Duration appendInterval = 100ms; ///< least time between appends: keeps a host that serves two shards within its part of the writes
     Duration retryFirst = 20ms; ///< first ceiling of the back-off after a failed call
     Duration retryMost = 2s; ///< largest ceiling
 };
