Drop state nobody reads, read the platform's three listings by one function

The daemon kept a set of drain orders that it rebuilt from each list and never asked; EndpointDirectory::confirm returned a value that its one caller ignored; list, watch and host list answers were read by three copies of status, body and items; two map nodes were declared auto, which the house style keeps for iterators and lambdas. Change: the set is gone, orders go straight from the list to endpointLeaving; confirm returns nothing; readListing serves the three; the node types are named. Left: the timers of LedgerHost and PlacementService differ by one check; EndpointDirectory and routing's LeavingMark keep the same rule twice, and EndpointPool::markLeaving is called by tests only.

--- a/src/arbiter/arbiterhostimpl.h
+++ b/src/arbiter/arbiterhostimpl.h
@@ -332,7 +332,7 @@
 void ArbiterHost<ClockType, Transport, Pool>::answer(Shard &shard, const AttemptId &id, const PermitAnswer &answer)
 {
     // Without a handler the request was cancelled in this very turn; the desk gives the grant back.
-    if (auto handler = shard.handlers.extract(id)) {
+    if (typename std::map<AttemptId, PermitHandler>::node_type handler = shard.handlers.extract(id)) {
         handler.mapped()(answer);
     }
 }
--- a/src/arbiter/arbiterhostterm.h
+++ b/src/arbiter/arbiterhostterm.h
@@ -268,7 +268,7 @@
     void takeAnswersTo(TimePoint now, const HostId &host, PermitDeskPeer &peer, std::vector<PermitAnswersTo> &due)
     {
         std::vector<PermitAnswers> answers;
-        if (auto pending = m_pending.extract(host)) {
+        if (typename std::map<HostId, std::vector<PermitAnswers>>::node_type pending = m_pending.extract(host)) {
             answers = std::move(pending.mapped());
         }
         if (answers.empty()) {
--- a/src/daemon/endpointdirectory.cpp
+++ b/src/daemon/endpointdirectory.cpp
@@ -59,22 +59,20 @@
     return tick(now) || changed;
 }
 
-bool EndpointDirectory::confirm(Entry &entry, EndpointState before)
+void EndpointDirectory::confirm(Entry &entry, EndpointState before)
 {
     if (!entry.reportedLeaving) {
-        return false;
+        return;
     }
     if (entry.listed.state == EndpointState::Leaving) {
         entry.listAgreed = true;
-        return false;
+        return;
     }
     // The list lags: "live" counts as a return only after the list itself has shown the endpoint leaving.
-    const bool cameBack = entry.listAgreed && before == EndpointState::Leaving;
-    if (cameBack) {
+    if (entry.listAgreed && before == EndpointState::Leaving) {
         entry.reportedLeaving.reset();
         entry.listAgreed = false;
     }
-    return cameBack;
 }
 
 bool EndpointDirectory::leaving(TimePoint now, const EndpointId &endpoint)
--- a/src/daemon/endpointdirectory.h
+++ b/src/daemon/endpointdirectory.h
@@ -66,7 +66,7 @@
     };
 
     static Endpoint effective(const Entry &entry);
-    static bool confirm(Entry &entry, EndpointState before);
+    static void confirm(Entry &entry, EndpointState before);
 
     DirectoryOptions m_options;
     std::map<EndpointId, Entry> m_entries;
--- a/src/daemon/hostadmin.cpp
+++ b/src/daemon/hostadmin.cpp
@@ -200,16 +200,14 @@
             reply(platformFailure(order.error()));
             return;
         }
-        parts.objects.remove(
-            key, WriteCondition::atVersion(order.value().version), [&parts, orders, endpoint, reply](const PlatformResult<ObjectVersion> &removed) {
-                if (removed.has_error()) {
-                    reply(platformFailure(removed.error()));
-                    return;
-                }
-                parts.drainOrders.erase(endpoint);
-                orders.endpointReturned(endpoint);
-                reply({200, boost::json::object{{"endpoint", endpoint.text()}, {"ordered", "serve again"}}});
-            });
+        parts.objects.remove(key, WriteCondition::atVersion(order.value().version), [orders, endpoint, reply](const PlatformResult<ObjectVersion> &removed) {
+            if (removed.has_error()) {
+                reply(platformFailure(removed.error()));
+                return;
+            }
+            orders.endpointReturned(endpoint);
+            reply({200, boost::json::object{{"endpoint", endpoint.text()}, {"ordered", "serve again"}}});
+        });
     });
 }
 
--- a/src/daemon/hostparts.h
+++ b/src/daemon/hostparts.h
@@ -19,8 +19,6 @@
 #include "settings/settings.h"
 #include "telemetry/metrics.h"
 
-#include <set>
-
 namespace Rhubarbwind
 {
 
@@ -57,8 +55,6 @@
     std::shared_ptr<ExplainGather<SteadyClock, HostNetwork>> explain;
     DrainSequence drain;
     bool platformReached = false;
-    /** Endpoints that operators ordered to drain, as the platform's objects say. */
-    std::set<EndpointId> drainOrders;
 };
 
 /** Unix time in milliseconds: for people, and to order facts of several sources; no decision measures time by it. */
--- a/src/daemon/hostruntime.cpp
+++ b/src/daemon/hostruntime.cpp
@@ -5,6 +5,8 @@
 #include "daemon/hostparts.h"
 #include "telemetry/log.h"
 
+#include <set>
+
 namespace Rhubarbwind
 {
 
@@ -297,12 +299,8 @@
 
     void takeDrainOrders(std::span<const StoredObject> ordered)
     {
-        m_parts.drainOrders.clear();
         for (const StoredObject &object : ordered) {
-            m_parts.drainOrders.insert(EndpointId(object.key.substr(drainOrderPrefix.size())));
-        }
-        for (const EndpointId &endpoint : m_parts.drainOrders) {
-            endpointLeaving(endpoint);
+            endpointLeaving(EndpointId(object.key.substr(drainOrderPrefix.size())));
         }
     }
 
--- a/src/platform/platformanswer.cpp
+++ b/src/platform/platformanswer.cpp
@@ -171,6 +171,27 @@
     return value;
 }
 
+/** Reads an answer that lists items. @param next where to go on; null when the answer tells none */
+template <class Item, class Read>
+std::optional<PlatformError> readListing(const HttpAnswer &answer, std::string_view key, std::vector<Item> &items, Read read, std::uint64_t *next)
+{
+    if (answer.status != statusOk) {
+        return errorOf(answer.status);
+    }
+    const std::optional<json::value> body = parseBody(answer.body);
+    if (!body) {
+        return malformed();
+    }
+    AnswerReader reader(*body);
+    if (next != nullptr) {
+        *next = reader.number("next");
+    }
+    if (!readItems(reader.list(key), items, read) || !reader.ok()) {
+        return malformed();
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 std::optional<ObjectVersion> parseVersionTag(std::string_view tag)
@@ -223,53 +244,27 @@
 
 PlatformResult<ObjectListing> readListAnswer(const HttpAnswer &answer)
 {
-    if (answer.status != statusOk) {
-        return failure(errorOf(answer.status));
-    }
-    const std::optional<json::value> body = parseBody(answer.body);
-    if (!body) {
-        return failure(malformed());
-    }
-    AnswerReader reader(*body);
     ObjectListing listing;
-    listing.next = reader.number("next");
-    if (!readItems(reader.list("objects"), listing.objects, readStored) || !reader.ok()) {
-        return failure(malformed());
+    if (const std::optional<PlatformError> error = readListing(answer, "objects", listing.objects, readStored, &listing.next)) {
+        return failure(*error);
     }
     return listing;
 }
 
 PlatformResult<WatchBatch> readWatchAnswer(const HttpAnswer &answer)
 {
-    if (answer.status != statusOk) {
-        return failure(errorOf(answer.status));
-    }
-    const std::optional<json::value> body = parseBody(answer.body);
-    if (!body) {
-        return failure(malformed());
-    }
-    AnswerReader reader(*body);
     WatchBatch batch;
-    batch.next = reader.number("next");
-    if (!readItems(reader.list("events"), batch.events, readEvent) || !reader.ok()) {
-        return failure(malformed());
+    if (const std::optional<PlatformError> error = readListing(answer, "events", batch.events, readEvent, &batch.next)) {
+        return failure(*error);
     }
     return batch;
 }
 
 PlatformResult<std::vector<ListedHost>> readHostsAnswer(const HttpAnswer &answer)
 {
-    if (answer.status != statusOk) {
-        return failure(errorOf(answer.status));
-    }
-    const std::optional<json::value> body = parseBody(answer.body);
-    if (!body) {
-        return failure(malformed());
-    }
-    AnswerReader reader(*body);
     std::vector<ListedHost> hosts;
-    if (!readItems(reader.list("hosts"), hosts, readHost)) {
-        return failure(malformed());
+    if (const std::optional<PlatformError> error = readListing(answer, "hosts", hosts, readHost, nullptr)) {
+        return failure(*error);
     }
     return hosts;
 }
