--- a/src/daemon/gatewayduties.cpp
+++ b/src/daemon/gatewayduties.cpp
@@ -35,6 +35,7 @@
     options.host = settings.host;
     options.process = freshId();
     options.lease = duties.lease;
+    options.isFirstStart = duties.isFirstStart;
     options.callTimeout = apiTimeout;
     options.usage.window = duties.usageWindow;
     options.usage.due = duties.usageDue;
--- a/src/duties/dutynote.cpp
+++ b/src/duties/dutynote.cpp
@@ -13,7 +13,7 @@
 namespace json = boost::json;
 
 constexpr std::size_t longestName = 1024;
-constexpr std::size_t longestUsage = 512 * 1024;
+constexpr std::size_t longestUsage = std::size_t{512} * 1024;
 constexpr std::size_t mostGoals = 1000;
 constexpr std::size_t mostDomains = 1000;
 constexpr std::uint32_t mostEngines = 1'000'000;
--- a/src/duties/dutysession.cpp
+++ b/src/duties/dutysession.cpp
@@ -21,6 +21,7 @@
     lease.retryFirst = 100ms;
     lease.retryMost = 1s;
     lease.numbersByVersion = true;
+    lease.isFirstStart = options.isFirstStart;
     return lease;
 }
 
--- a/src/duties/dutysession.h
+++ b/src/duties/dutysession.h
@@ -34,6 +34,7 @@
     HostId host;
     std::string process; ///< unique id of this process
     Duration lease = 3s;
+    bool isFirstStart = false; ///< of the whole system: nobody can have held the duties before
     Duration callTimeout = 500ms; ///< of a call to the API
     UsageReportOptions usage;
     std::uint64_t seed = 0;
--- a/src/duties/engineorders.cpp
+++ b/src/duties/engineorders.cpp
@@ -39,14 +39,21 @@
             }
         }
         if (goal.domains.size() >= 2) {
-            const std::uint32_t bearers = static_cast<std::uint32_t>(goal.domains.size()) - (m_options.sparesDomain ? 1 : 0);
-            goal.eachDomain = std::min(service.most, (goal.need + bearers - 1) / bearers);
+            goal.eachDomain = eachDomain(service, goal);
             m_goals.push_back(std::move(goal));
         }
     }
     return m_goals.size() != before;
 }
 
+std::uint32_t EngineOrders::eachDomain(const ScaledService &service, const EngineGoal &goal) const
+{
+    const std::uint32_t domains = static_cast<std::uint32_t>(goal.domains.size());
+    const std::uint32_t spare = (goal.need + domains - 2) / (domains - 1);
+    const double affordable = m_options.spendShare * goal.need / domains / std::max(service.reclaimablePrice, 0.001);
+    return std::min(service.most, std::max(spare, static_cast<std::uint32_t>(std::min<double>(affordable, service.most))));
+}
+
 const ScaledService *EngineOrders::scaling(const ShardId &service) const
 {
     const auto found = std::ranges::find(m_services, service, &ScaledService::service);
@@ -67,9 +74,8 @@
             const EngineCount count = countOf(counts, goal.service, domain);
             ready += count.lasting + count.reclaimable;
         }
-        const std::uint32_t missing = goal.need - std::min(goal.need, ready);
         for (const FailureDomain &domain : goal.domains) {
-            if (const std::optional<EngineOrder> order = nextOf(goal, countOf(counts, goal.service, domain), missing, now)) {
+            if (std::optional<EngineOrder> order = nextOf(goal, countOf(counts, goal.service, domain), ready, now)) {
                 return order;
             }
         }
@@ -77,7 +83,7 @@
     return std::nullopt;
 }
 
-std::optional<EngineOrder> EngineOrders::nextOf(const EngineGoal &goal, const EngineCount &count, std::uint32_t missing, TimePoint now) const
+std::optional<EngineOrder> EngineOrders::nextOf(const EngineGoal &goal, const EngineCount &count, std::uint32_t ready, TimePoint now) const
 {
     const ScaledService *service = scaling(goal.service);
     if (service == nullptr || service->reclaimablePrice >= 1 || service->most < service->least) {
@@ -89,17 +95,20 @@
     const std::uint32_t room = service->most - std::min(service->most, lasting);
     const EngineOrder cheap{goal.service, count.domain, true, std::min(goal.eachDomain, room)};
     const bool hasCheap = cheap.count > 0 && count.reclaimable >= static_cast<std::uint32_t>(cheap.count * m_options.readyShare);
-    if (cheap.count > 0 && !hasCheap) {
-        if (const std::optional<EngineOrder> order = due(cheap, count.reclaimable, service->boot, now)) {
+    if (cheap.count > 0) {
+        if (std::optional<EngineOrder> order = due(cheap, count.reclaimable, service->boot, now)) {
             return order;
         }
     }
-    if (hasCheap) {
+    // Where the others have enough, lasting engines only take the room of reclaimable ones.
+    const bool isSpare = ready - count.lasting >= goal.need;
+    if (hasCheap || isSpare) {
         // Never below the configuration's own bound.
         const std::uint32_t floor = service->least - std::min(service->least, count.reclaimable);
         return count.lasting > floor ? due({goal.service, count.domain, false, floor}, count.lasting, service->boot, now) : std::nullopt;
     }
     // Failure: a domain's reclaimable engines go, and no others are to be had there. What the service then lacks comes from lasting ones.
+    const std::uint32_t missing = goal.need - std::min(goal.need, ready);
     const bool isShort = ordered({goal.service, count.domain, true}).noneThere && missing > 0;
     const std::uint32_t bound = service->most - std::min(service->most, count.reclaimable);
     const std::uint32_t substitute = std::min({goal.eachDomain, count.lasting + missing, bound});
--- a/src/duties/engineorders.h
+++ b/src/duties/engineorders.h
@@ -4,8 +4,9 @@
 //
 // Engines are billed by the second, those that may be reclaimed at a fraction of the others' price, all of a domain's at once and at short
 // notice. So a service that stands in two domains or more rests on reclaimable engines, as many that any one domain may lose all of its own and
-// the others still have what the service had when the duty was first held; fewer where a domain's bound leaves no room. A service in one
-// domain alone is left as it is.
+// the others still have what the service had when the duty was first held, and more where that costs less than `spendShare` of what
+// was paid then: callers' worst seconds are those in which a burst finds too few engines, and new ones take their boot. Fewer where a domain's
+// bound leaves no room. A service in one domain alone is left as it is.
 //
 // Order of events: reclaimable engines are ordered beside those that are there; only when nearly all that have room are ready do the others go,
 // domain by domain, and then the rest comes. So no moment has fewer engines than the start. Where none are to be had, or all were reclaimed, the
@@ -78,7 +79,7 @@
 
 struct EngineOrderOptions
 {
-    bool sparesDomain = true; ///< as many that one domain may lose its own
+    double spendShare = 0.45; ///< of the price of the engines that there were
     double readyShare = 0.9; ///< of the reclaimable engines ordered; then the others go
     Duration repeatAfter = 3s; ///< of an order that was not accepted, or whose engines have not come
     Duration settle = 2s; ///< beyond the boot, until engines that have not come are missed
@@ -126,7 +127,8 @@
 
     const ScaledService *scaling(const ShardId &service) const;
     Ordered ordered(const OrderKey &key) const;
-    std::optional<EngineOrder> nextOf(const EngineGoal &goal, const EngineCount &count, std::uint32_t missing, TimePoint now) const;
+    std::uint32_t eachDomain(const ScaledService &service, const EngineGoal &goal) const;
+    std::optional<EngineOrder> nextOf(const EngineGoal &goal, const EngineCount &count, std::uint32_t ready, TimePoint now) const;
     /** @return none if nothing is to be sent now */
     std::optional<EngineOrder> due(const EngineOrder &order, std::uint32_t standing, Duration boot, TimePoint now) const;
 
--- a/src/placement/lease.cpp
+++ b/src/placement/lease.cpp
@@ -16,7 +16,7 @@
 
 constexpr unsigned maxDoublings = 20;
 constexpr std::size_t longestName = 256;
-constexpr std::size_t longestNote = 512 * 1024; // half of what the platform's objects may hold
+constexpr std::size_t longestNote = std::size_t{512} * 1024; // half of what the platform's objects may hold
 // Beyond the largest lease an operator could want; keeps a malformed one from blocking a domain for days.
 constexpr Duration longestLease = 10min;
 
@@ -276,7 +276,8 @@
 TimePoint LeaseKeeper::takeOverAt() const
 {
     const TimePoint eraEnds = m_era == 0 ? TimePoint() : m_eraSince + wholeWait(m_options.duration);
-    if (!m_known && m_missing && m_options.numbersByVersion) {
+    const bool neverWas = m_options.isFirstStart && m_era == 0;
+    if (!m_known && m_missing && m_options.numbersByVersion && !neverWas) {
         return std::max(eraEnds, m_missingSince + wholeWait(m_options.duration));
     }
     if (!m_known) {
--- a/src/placement/placement_test.cpp
+++ b/src/placement/placement_test.cpp
@@ -219,6 +219,104 @@
     }
 }
 
+namespace
+{
+
+LeaseKeeper keeperByVersion(const std::string &holder, bool isFirstStart = false)
+{
+    LeaseOptions options;
+    options.holder = holder;
+    options.host = HostId("host");
+    options.duration = 3s;
+    options.renewEvery = 1s;
+    options.numbersByVersion = true;
+    options.isFirstStart = isFirstStart;
+    LeaseKeeper keeper(options);
+    keeper.setWanted(true, true);
+    return keeper;
+}
+
+} // namespace
+
+TEST_CASE("where a store may come back from a copy, a lease that is missing is waited out, but at the first start of all")
+{
+    // Two hosts act at once: the store came back from a copy of before the lease was taken, its holder believes in it still, and another
+    // takes it anew. Whoever finds none waits as long as any holder of before could believe.
+    const TimePoint start(1h);
+    Random random(1);
+    const bool isFirstStart = GENERATE(false, true);
+    LeaseKeeper keeper = keeperByVersion("a", isFirstStart);
+    REQUIRE(keeper.nextCall(start)->kind == LeaseCallKind::Read);
+    keeper.readMissing(start);
+    const std::optional<LeaseCall> call = keeper.nextCall(start + 1s);
+    CHECK((call && call->kind == LeaseCallKind::Write) == isFirstStart);
+    if (!isFirstStart) {
+        CHECK(keeper.nextCall(start + 3200ms)->kind == LeaseCallKind::Write);
+    }
+    keeper.writeDone(412, start + 3300ms);
+    CHECK(keeper.view(start + 3300ms).fencing == 412);
+
+    // The store is in its second era, and has no lease: also the first start's host waits, and its number is above all before.
+    REQUIRE(keeper.nextCall(start + 5s)->kind == LeaseCallKind::Write);
+    keeper.writeFailed(PlatformErrorKind::Conflict, start + 5s, random);
+    REQUIRE(keeper.nextCall(start + 6s)->kind == LeaseCallKind::Read);
+    keeper.readMissing(start + 6s, 1);
+    CHECK_FALSE(keeper.view(start + 6s).held);
+    CHECK_FALSE(keeper.nextCall(start + 7s));
+    REQUIRE(keeper.nextCall(start + 9200ms)->kind == LeaseCallKind::Write);
+    keeper.writeDone(versionIn(1, 400), start + 9200ms);
+    CHECK(keeper.view(start + 9200ms).fencing == versionIn(1, 400));
+}
+
+TEST_CASE("a write that was meant for one era of the store and answered by the next makes nobody a holder")
+{
+    // The store comes back from a copy while a renewal is on its way, and the revision that it names is given out again, for another's lease.
+    // Its writer would hold what the store has as that of another.
+    const TimePoint start(1h);
+    LeaseKeeper keeper = keeperByVersion("a", true);
+    REQUIRE(keeper.nextCall(start));
+    keeper.readMissing(start);
+    REQUIRE(keeper.nextCall(start)->kind == LeaseCallKind::Write);
+    keeper.writeDone(412, start);
+    REQUIRE(keeper.view(start).held);
+    REQUIRE(keeper.nextCall(start + 1s)->kind == LeaseCallKind::Write);
+    keeper.writeDone(versionIn(1, 413), start + 1s);
+    CHECK_FALSE(keeper.view(start + 1s).held);
+    CHECK(keeper.nextCall(start + 1s)->kind == LeaseCallKind::Read);
+}
+
+TEST_CASE("a note goes from holder to holder, and is what the platform acknowledged")
+{
+    const TimePoint start(1h);
+    LeaseKeeper first = keeperByVersion("a", true);
+    REQUIRE(first.nextCall(start));
+    first.readMissing(start);
+    REQUIRE(first.nextCall(start));
+    first.writeDone(5, start);
+    CHECK(first.heldNote().empty());
+    first.setNote("one");
+    CHECK(first.heldNote().empty());
+    const std::optional<LeaseCall> noted = first.nextCall(start + 10ms);
+    REQUIRE(noted);
+    CHECK(noted->record.note == "one");
+    first.writeDone(6, start + 20ms);
+    CHECK(first.heldNote() == "one");
+    CHECK(first.view(start + 20ms).fencing == 5);
+    CHECK_FALSE(first.nextCall(start + 30ms));
+
+    LeaseKeeper second = keeperByVersion("b");
+    REQUIRE(second.nextCall(start + 1s));
+    second.readDone({6, noted->record}, start + 1s);
+    const std::optional<LeaseCall> taken = second.nextCall(start + 5s);
+    REQUIRE(taken);
+    REQUIRE(taken->kind == LeaseCallKind::Write);
+    CHECK(taken->record.note == "one");
+    second.writeDone(7, start + 5s);
+    CHECK(second.heldNote() == "one");
+    CHECK(second.view(start + 5s).fencing == 7);
+    CHECK(parseLease(formatLease(taken->record), 0).value() == taken->record);
+}
+
 TEST_CASE("an order that could outlast the lease goes only to endpoints that check its number")
 {
     // The operator sees an endpoint that ignores numbers fall back to an old model: the order went out just before the lease ended,
