Changes of many entries go out deflated, eight times as many a datagram

Lines tell each call's cause: when the store's history is gone while 180 engines come and 90 leave, the watchers tell what has changed since in some 45 paced datagrams, two seconds; hosts see after 0.8 s that they are behind, and all 86 ask, and list (171 questions in one second).

Change: what does not fit a datagram goes out as one deflated piece where it fits so, and is halved else; each datagram is still good without the others. A test with 180 entries and 30 hosts: 2.05 s before, under the 0.8 s after which hosts ask now.

--- a/src/fleet/changeteller.cpp
+++ b/src/fleet/changeteller.cpp
@@ -226,11 +226,13 @@
         messages.push_back(std::move(message));
         return true;
     }
-    if (const std::optional<BatchHalves> halves = halve(batch)) {
+    // Entries are much alike: deflated, eight times as many fit, and each datagram is still good without the others.
+    const std::vector<BatchPiece> pieces = cutBatch(batch);
+    const std::optional<BatchHalves> halves = pieces.size() == 1 ? std::nullopt : halve(batch);
+    if (halves) {
         return cutToFit(halves->first, messages) && cutToFit(halves->second, messages);
     }
     message.batch.reset();
-    const std::vector<BatchPiece> pieces = cutBatch(batch);
     for (const BatchPiece &piece : pieces) {
         message.piece = piece;
         messages.push_back(message);
