--- a/src/daemon/gatewayduties.cpp
+++ b/src/daemon/gatewayduties.cpp
@@ -4,6 +4,8 @@
 #include "base/suspendclock.h"
 #include "base/walltime.h"
 
+#include <algorithm>
+
 namespace Rhubarbwind
 {
 
@@ -28,7 +30,7 @@
     return options;
 }
 
-DutyOptions dutyOptions(const Settings &settings)
+DutyOptions dutyOptions(const Settings &settings, const DutyCodec &codec)
 {
     const DutySettings &duties = *settings.gateway->duties;
     DutyOptions options;
@@ -39,6 +41,8 @@
     options.callTimeout = apiTimeout;
     options.usage.window = duties.usageWindow;
     options.usage.due = duties.usageDue;
+    options.reportsUsage = std::ranges::find(duties.kinds, codec.usageKind) != duties.kinds.end();
+    options.ordersEngines = std::ranges::find(duties.kinds, codec.engineKind) != duties.kinds.end();
     options.seed = std::hash<std::string>()(options.process);
     return options;
 }
@@ -62,7 +66,7 @@
     ports.engines = m_parts.engines;
     ports.tell = m_parts.tell;
     const ObjectSession<SteadyClock> store(m_parts.store, adapter.objects, "rhubarbwind-duties");
-    m_session = std::make_shared<DutySession<SteadyClock>>(store, m_api, adapter.duties, dutyOptions(settings), std::move(ports));
+    m_session = std::make_shared<DutySession<SteadyClock>>(store, m_api, adapter.duties, dutyOptions(settings, adapter.duties), std::move(ports));
 }
 
 void GatewayDuties::began(const CustomerId &customer)
--- a/src/duties/dutycalls.h
+++ b/src/duties/dutycalls.h
@@ -22,6 +22,8 @@
 
 struct DutyCodec
 {
+    std::string_view usageKind; ///< what the platform calls the duty to report usage
+    std::string_view engineKind; ///< and that to order engines
     HttpCall (*usageCall)(const DutyHolder &holder, const UsageReport &report) = nullptr;
     HttpCall (*orderCall)(const DutyHolder &holder, const EngineOrder &order) = nullptr;
     bool (*isAccepted)(const HttpAnswer &answer) = nullptr;
--- a/src/duties/dutysession.cpp
+++ b/src/duties/dutysession.cpp
@@ -178,7 +178,7 @@
 template <Clock ClockType>
 void DutySession<ClockType>::fixReports()
 {
-    while (const std::optional<std::uint64_t> window = m_reports.toFix(m_ports.trueTimeMs())) {
+    while (const std::optional<std::uint64_t> window = m_options.reportsUsage ? m_reports.toFix(m_ports.trueTimeMs()) : std::nullopt) {
         UsageReport report = reportOf(*window);
         std::int64_t begun = 0;
         for (const auto &[customer, count] : report.counts) {
@@ -196,7 +196,7 @@
 void DutySession<ClockType>::writeNote()
 {
     m_orders.setServices(m_ports.scaledServices());
-    if (m_orders.fixGoals(m_ports.engines())) {
+    if (m_options.ordersEngines && m_orders.fixGoals(m_ports.engines())) {
         for (const EngineGoal &goal : m_orders.goals()) {
             LogFields fields;
             fields.text("service", goal.service.text()).number("need", std::int64_t{goal.need}).number("each_domain", std::int64_t{goal.eachDomain});
@@ -204,7 +204,7 @@
         }
     }
     const DutyNote acknowledged = parseDutyNote(m_keeper.heldNote());
-    const std::optional<std::string> usage = m_reports.wantedNote();
+    const std::optional<std::string> usage = m_options.reportsUsage ? m_reports.wantedNote() : std::nullopt;
     if (usage || m_orders.goals() != acknowledged.engines) {
         m_keeper.setNote(formatDutyNote({usage.value_or(acknowledged.usage), m_orders.goals()}));
     }
--- a/src/duties/dutysession.h
+++ b/src/duties/dutysession.h
@@ -35,6 +35,8 @@
     std::string process; ///< unique id of this process
     Duration lease = 3s;
     bool isFirstStart = false; ///< of the whole system: nobody can have held the duties before
+    bool reportsUsage = true;
+    bool ordersEngines = true;
     Duration callTimeout = 500ms; ///< of a call to the API
     UsageReportOptions usage;
     std::uint64_t seed = 0;
--- a/src/gateway/dutysession_test.cpp
+++ b/src/gateway/dutysession_test.cpp
@@ -127,7 +127,7 @@
         ports.tell = [&host](std::string_view event, const LogFields &) { host.events.emplace_back(event); };
         host.session = std::make_shared<DutySession<SteadyClock>>(ObjectSession<SteadyClock>(connectionsTo(store), {getCall, putCall, readObject}, "kind"),
                                                                   connectionsTo(api),
-                                                                  DutyCodec{usageCall, orderCall, isAccepted, readOrderAnswer},
+                                                                  DutyCodec{"usage", "engines", usageCall, orderCall, isAccepted, readOrderAnswer},
                                                                   options,
                                                                   ports);
         host.session->setWanted(true);
