Goals of engines wait until all have written themselves in; calls that are given up are reset; a stop lets go after a call

Goals wait for two seconds without a change. The test fails without it (30 engines that come one by one).

Second: a connection that is closed after its time limit goes on sending what a cut held back; reset, it does not. Test: the API sees an end without a reset on the code before.

Third: found by one failure of 'one host takes the duties...' on a busy machine: a stop that is ordered while a call is under way let the lease run out, since that was looked at once, when it was ordered. Looked at each tick now; a test of its own.

--- a/src/duties/dutysession.cpp
+++ b/src/duties/dutysession.cpp
@@ -49,8 +49,7 @@
 template <Clock ClockType>
 void DutySession<ClockType>::setWanted(bool wanted)
 {
-    // A call under way may still arrive: the lease then runs out by itself.
-    m_keeper.setWanted(wanted, !m_isSending);
+    m_wanted = wanted;
 }
 
 template <Clock ClockType>
@@ -91,6 +90,8 @@
 template <Clock ClockType>
 void DutySession<ClockType>::pumpLease()
 {
+    // A call under way may still arrive: the lease is let go after it.
+    m_keeper.setWanted(m_wanted, !m_isSending);
     const std::optional<LeaseCall> call = m_keeper.nextCall(m_ports.suspendClock());
     if (!call) {
         return;
@@ -196,7 +197,7 @@
 void DutySession<ClockType>::writeNote()
 {
     m_orders.setServices(m_ports.scaledServices());
-    if (m_options.ordersEngines && m_orders.fixGoals(m_ports.engines())) {
+    if (m_options.ordersEngines && m_orders.fixGoals(m_ports.engines(), ClockType::now())) {
         for (const EngineGoal &goal : m_orders.goals()) {
             LogFields fields;
             fields.text("service", goal.service.text()).number("need", std::int64_t{goal.need}).number("each_domain", std::int64_t{goal.eachDomain});
--- a/src/duties/dutysession.h
+++ b/src/duties/dutysession.h
@@ -3,7 +3,7 @@
 // One host's part in the duties that one host at a time holds for the fleet.
 //
 // Promises: no call goes out but under the lease (placement/lease.h), with its number, and only while the lease outlasts the time in which
-// the call can still arrive: a call is given up, and its connection closed, after callTimeout, and has waited as long at the most before it
+// the call can still arrive: a call is given up, and its connection reset, after callTimeout, and has waited as long at the most before it
 // was sent. The lease is measured on a clock that goes on while the host is suspended. Not covered: a host that stands still
 // between its last look at the clock and the write to the socket.
 // Usage is reported once for each window, or again with the same counts (usagereports.h). Engines are ordered as engineorders.h says, by goals that the
@@ -104,6 +104,7 @@
     EngineOrders m_orders;
     Random m_random;
     Log m_log{LogPart::Placement};
+    bool m_wanted = false;
     std::uint64_t m_number = 0; ///< under which the lease was last seen held; zero: not held
     std::uint64_t m_lastNumber = 0; ///< under which it was last held
     std::uint64_t m_lastReported = 0; ///< window
--- a/src/duties/engineorders.cpp
+++ b/src/duties/engineorders.cpp
@@ -21,9 +21,12 @@
 {
     m_goals = std::move(goals);
     m_ordered.clear();
+    m_sightings.clear();
 }
 
-bool EngineOrders::fixGoals(std::span<const EngineCount> counts)
+// Failure: the first holder takes the duties while engines are still writing themselves into the store, and takes the few that it sees for what
+// the service had. Symptom: all but those few are ordered away, and nearly every prompt is refused.
+bool EngineOrders::fixGoals(std::span<const EngineCount> counts, TimePoint now)
 {
     const std::size_t before = m_goals.size();
     for (const ScaledService &service : m_services) {
@@ -38,7 +41,11 @@
                 goal.need += there;
             }
         }
-        if (goal.domains.size() >= 2) {
+        Sighting &seen = m_sightings[service.service];
+        if (seen.engines != goal) {
+            seen = {goal, now};
+        }
+        if (goal.domains.size() >= 2 && now - seen.since >= m_options.calm) {
             goal.eachDomain = eachDomain(service, goal);
             m_goals.push_back(std::move(goal));
         }
--- a/src/duties/engineorders.h
+++ b/src/duties/engineorders.h
@@ -80,6 +80,7 @@
 struct EngineOrderOptions
 {
     double spendShare = 0.45; ///< of the price of the engines that there were
+    Duration calm = 2s; ///< in which a service's engines stay the same before its goal is fixed
     double readyShare = 0.9; ///< of the reclaimable engines ordered; then the others go
     Duration repeatAfter = 3s; ///< of an order that was not accepted, or whose engines have not come
     Duration settle = 2s; ///< beyond the boot, until engines that have not come are missed
@@ -99,8 +100,8 @@
     }
     /** The duty was taken: nothing is known of earlier orders but the goals. */
     void begin(std::vector<EngineGoal> goals);
-    /** Fixes goals of services that have none yet, from what is listed. @return true if there are new ones */
-    bool fixGoals(std::span<const EngineCount> counts);
+    /** Fixes goals of services that have none yet, from what is listed once that is calm. @return true if there are new ones */
+    bool fixGoals(std::span<const EngineCount> counts, TimePoint now);
     const std::vector<EngineGoal> &goals() const
     {
         return m_goals;
@@ -125,6 +126,13 @@
         bool noneThere = false; ///< as last answered
     };
 
+    /** What a service has, in all domains. */
+    struct Sighting
+    {
+        EngineGoal engines;
+        TimePoint since{}; ///< it has been so
+    };
+
     const ScaledService *scaling(const ShardId &service) const;
     Ordered ordered(const OrderKey &key) const;
     std::uint32_t eachDomain(const ScaledService &service, const EngineGoal &goal) const;
@@ -136,6 +144,7 @@
     std::vector<ScaledService> m_services;
     std::vector<EngineGoal> m_goals;
     std::map<OrderKey, Ordered> m_ordered;
+    std::map<ShardId, Sighting> m_sightings; ///< of services without a goal
 };
 
 } // namespace Rhubarbwind
--- a/src/duties/engineorders_test.cpp
+++ b/src/duties/engineorders_test.cpp
@@ -125,6 +125,13 @@
     return {service, 1, most, bootTime, 0.22};
 }
 
+/** As a holder does that sees the same for some seconds. */
+void fixGoals(EngineOrders &orders, const Platform &platform)
+{
+    orders.fixGoals(platform.counts(), TimePoint(30min));
+    orders.fixGoals(platform.counts(), TimePoint(31min));
+}
+
 /** Runs until `end`, a tenth of a second at a time; now and then an answer is lost, or another holder goes on. */
 class Loop
 {
@@ -135,7 +142,7 @@
         , m_isHarmed(seed != 0)
     {
         m_orders.setServices({scaling()});
-        m_orders.fixGoals(platform.counts());
+        fixGoals(m_orders, platform);
     }
 
     void until(TimePoint end)
@@ -224,6 +231,28 @@
     });
 }
 
+TEST_CASE("engines that are still writing themselves into the store are waited for before anything is ordered", "[engines]")
+{
+    // Nearly every prompt is refused for the whole day: the first holder of the duties took the three engines that it saw in its first second
+    // for all that there were, ordered as many, and sent ninety away.
+    EngineOrders orders;
+    orders.setServices({scaling()});
+    TimePoint now(1h);
+    for (std::uint32_t listed = 1; listed <= atStart; ++listed) {
+        std::vector<EngineCount> counts;
+        for (const FailureDomain &domain : domains) {
+            counts.push_back({service, domain, listed, 0, 0});
+        }
+        CHECK_FALSE(orders.fixGoals(counts, now));
+        CHECK_FALSE(orders.next(counts, now));
+        now += 500ms;
+    }
+    const Platform platform;
+    CHECK_FALSE(orders.fixGoals(platform.counts(), now));
+    CHECK(orders.fixGoals(platform.counts(), now + 2s));
+    CHECK(orders.goals().front().need == need);
+}
+
 TEST_CASE("how many: a domain may lose its own, and more where they are cheap", "[engines]")
 {
     struct Row
@@ -237,7 +266,7 @@
         EngineOrders orders;
         orders.setServices({{service, 1, row.most, bootTime, row.price}});
         Platform platform;
-        orders.fixGoals(platform.counts());
+        fixGoals(orders, platform);
         CHECK(orders.goals().front().eachDomain == row.each);
     }
 }
@@ -247,7 +276,8 @@
     const std::vector<EngineCount> one{{service, domains[0], atStart, 0, 0}};
     EngineOrders alone;
     alone.setServices({scaling()});
-    CHECK_FALSE(alone.fixGoals(one));
+    alone.fixGoals(one, TimePoint(1h));
+    CHECK_FALSE(alone.fixGoals(one, TimePoint(2h)));
     CHECK_FALSE(alone.next(one, TimePoint(1h)));
 
     Platform platform;
@@ -255,7 +285,7 @@
     ScaledService same = scaling();
     same.reclaimablePrice = 1;
     dear.setServices({same});
-    dear.fixGoals(platform.counts());
+    fixGoals(dear, platform);
     CHECK_FALSE(dear.next(platform.counts(), TimePoint(1h)));
     // One that the configuration does not name any more is not ordered either.
     dear.setServices({});
--- a/src/gateway/dutysession_test.cpp
+++ b/src/gateway/dutysession_test.cpp
@@ -230,9 +230,8 @@
     // it. In order: the first host takes the lease, reports, stops and lets go; the second goes on where it ended.
     DutyScene scene;
     Host &first = scene.add("host-1");
-    REQUIRE(scene.until([&] { return scene.reports.size() >= 2; }));
+    REQUIRE(scene.until([&] { return scene.reports.size() >= 2 && contents(scene.orders).size() == 2; }));
     CHECK(first.session->lease().held);
-    CHECK(scene.orders.size() == 2);
     Host &second = scene.add("host-2");
     first.session->setWanted(false);
     const TimePoint stopped = SteadyClock::now();
@@ -247,6 +246,32 @@
     CHECK(std::ranges::is_sorted(scene.reports, {}, [](const std::string &call) { return std::stoull(call); }));
 }
 
+TEST_CASE("a holder that stops while a call is under way lets go after it", "[usage][at-most-once]")
+{
+    // The next holder waits a lease's time for nothing, and a window may be late. In order: a report goes out, the stop is ordered, the answer is
+    // lost and the call given up, the lease is let go.
+    DutyScene scene;
+    Host &first = scene.add("host-1");
+    REQUIRE(scene.until([&] { return !scene.reports.empty(); }));
+    scene.losesAnswers = true;
+    const std::size_t before = scene.reports.size();
+    REQUIRE(scene.until([&] { return scene.reports.size() > before; }));
+    first.session->setWanted(false);
+    CHECK(scene.until([&] { return parseLease(scene.object, 0).value().released; }, 800ms));
+}
+
+TEST_CASE("a call that is given up is reset, so that nothing of it arrives later", "[usage][at-most-once]")
+{
+    // A holder's report is held up by a cut and given up; another host takes the duties and reports. When the cut heals, the system sends the bytes
+    // of a connection that was merely closed: an older number arrives after a newer one.
+    DutyScene scene;
+    scene.add("host-1");
+    scene.losesAnswers = true;
+    REQUIRE(scene.until([&] { return !scene.reports.empty(); }));
+    CHECK(scene.until([&] { return std::ranges::any_of(scene.api.peers, [](const std::shared_ptr<Peer> &peer) { return peer->closed; }); }));
+    CHECK(std::ranges::all_of(scene.api.peers, [](const std::shared_ptr<Peer> &peer) { return !peer->closed || peer->wasReset; }));
+}
+
 TEST_CASE("a report whose answer is lost comes again with the same counts, also from the next holder", "[usage][at-most-once]")
 {
     // The API takes a report and its answer is lost; the holder can't know. Then the holder dies. Whoever sends that window again, and however
