--- a/src/duties/engineorders_test.cpp
+++ b/src/duties/engineorders_test.cpp
@@ -240,6 +240,7 @@
     TimePoint now(1h);
     for (std::uint32_t listed = 1; listed <= atStart; ++listed) {
         std::vector<EngineCount> counts;
+        counts.reserve(domains.size());
         for (const FailureDomain &domain : domains) {
             counts.push_back({service, domain, listed, 0, 0});
         }
