--- a/src/duties/usagereports.h
+++ b/src/duties/usagereports.h
@@ -85,10 +85,6 @@
 
     /** Windows left out since the last call. */
     std::vector<std::pair<std::uint64_t, LeftOut>> takeLeftOut();
-    bool isHeld() const
-    {
-        return m_number != 0;
-    }
 
 private:
     std::int64_t endOf(std::uint64_t window) const;
