--- a/src/daemon/suspectadmin.cpp
+++ b/src/daemon/suspectadmin.cpp
@@ -33,6 +33,28 @@
     return object;
 }
 
+boost::json::value secondsOf(const std::optional<Duration> &duration)
+{
+    return duration ? boost::json::value(toSeconds(*duration)) : boost::json::value();
+}
+
+boost::json::object objectOf(const StatementRow &row)
+{
+    const AdvisoryState &state = row.state;
+    boost::json::object object;
+    object["endpoint"] = row.endpoint.text();
+    object["service"] = row.service.text();
+    object["domain"] = row.domain.text();
+    const bool isOpen = !state.rateLimit && !state.leavingAge && !state.isListedLeaving && !state.backoffLeft;
+    object["state"] = state.leavingAge ? "leaving" : state.isListedLeaving ? "listed-leaving" : state.backoffLeft ? "backoff" : isOpen ? "open" : "limited";
+    object["rate_limit"] = state.rateLimit ? boost::json::value(*state.rateLimit) : boost::json::value();
+    object["rate_share"] = state.rateLimit ? boost::json::value(state.rateShare) : boost::json::value();
+    object["limit_age_s"] = state.rateLimit ? secondsOf(state.rateAge) : boost::json::value();
+    object["backoff_s"] = secondsOf(state.backoffLeft);
+    object["leaving_s"] = secondsOf(state.leavingAge);
+    return object;
+}
+
 } // namespace
 
 AdminAnswer SuspectAdmin::answer(const HttpRequest &request) const
@@ -44,6 +66,8 @@
     switch (routed.value().call) {
     case AdminCall::Suspects:
         return listed();
+    case AdminCall::EndpointStatements:
+        return statements();
     case AdminCall::LiftSuspect:
         return lifted(routed.value());
     default:
@@ -61,6 +85,15 @@
     return {200, std::move(rows)};
 }
 
+AdminAnswer SuspectAdmin::statements() const
+{
+    boost::json::array rows;
+    for (const StatementRow &row : m_ports.statements()) {
+        rows.push_back(objectOf(row));
+    }
+    return {200, std::move(rows)};
+}
+
 AdminAnswer SuspectAdmin::lifted(const RoutedCall &routed) const
 {
     const std::optional<RequestIdentity> identity = readIdentity(routed.arguments.front());
--- a/src/daemon/suspectadmin.h
+++ b/src/daemon/suspectadmin.h
@@ -1,11 +1,13 @@
 #pragma once
 
-// On-call's calls about requests that end endpoints, at a host's admin port: what is suspected and held, and lifting it.
+// On-call's calls at the admin port of a host that runs the gateway: what endpoints state about themselves; which requests are suspected to end
+// endpoints or held, and lifting a hold.
 //
-// Both need an operator's token. A lift clears the request on all hosts that this one reaches; on those that it does not, once
+// All need an operator's token. A lift clears the request on all hosts that this one reaches; on those that it does not, once
 // they hear any that it does.
 
 #include "daemon/adminanswer.h"
+#include "placing/endpointboard.h"
 #include "quarantine/suspectbook.h"
 
 #include <functional>
@@ -18,6 +20,7 @@
 struct SuspectAdminPorts
 {
     std::function<std::vector<SuspectRow>()> rows;
+    std::function<std::vector<StatementRow>()> statements;
     std::function<bool(const RequestIdentity &)> lift;
     std::function<TimePoint()> now;
     std::function<void(const RequestIdentity &, const OperatorName &)> onLifted;
@@ -40,6 +43,7 @@
 
 private:
     AdminAnswer listed() const;
+    AdminAnswer statements() const;
     AdminAnswer lifted(const RoutedCall &routed) const;
 
     std::vector<OperatorEntry> m_operators;
--- a/src/daemon/suspectadmin_test.cpp
+++ b/src/daemon/suspectadmin_test.cpp
@@ -47,6 +47,16 @@
         SuspectAdminPorts made;
         made.now = [] { return start + 10s; };
         made.rows = [this] { return book.rows(start + 10s); };
+        made.statements = [] {
+            StatementRow limited{EndpointId("e1"), ShardId("s"), FailureDomain("north"), {}};
+            limited.state.rateLimit = 5;
+            limited.state.rateShare = 0.5;
+            StatementRow leaving{EndpointId("e2"), ShardId("s"), FailureDomain("north"), {}};
+            leaving.state.leavingAge = 3s;
+            StatementRow backoff{EndpointId("e3"), ShardId("s"), FailureDomain("north"), {}};
+            backoff.state.backoffLeft = 2500ms;
+            return std::vector<StatementRow>{limited, leaving, backoff, {EndpointId("e4"), ShardId("s"), FailureDomain("north"), {}}};
+        };
         made.lift = [this](const RequestIdentity &identity) { return identity == guilty.identity && book.cleared(guilty, start + 10s, start + 10s); };
         made.onLifted = [this](const RequestIdentity &, const OperatorName &by) { lifters.push_back(by); };
         return made;
@@ -86,3 +96,22 @@
     CHECK(scene.ask(Http::verb::post, lift).status == 404);
     CHECK(scene.ask(Http::verb::get, "/admin/suspects").body.as_array()[1].at("standing").as_string() == "cleared");
 }
+
+TEST_CASE("on-call sees what endpoints state about themselves", "[endpoint-limit][endpoint-drain][endpoint-backoff]")
+{
+    const Scene scene;
+    CHECK(scene.ask(Http::verb::get, "/admin/endpoint-statements", "wrong").status == 401);
+    const AdminAnswer answer = scene.ask(Http::verb::get, "/admin/endpoint-statements");
+    REQUIRE(answer.status == 200);
+    const boost::json::array &rows = answer.body.as_array();
+    REQUIRE(rows.size() == 4);
+    CHECK(rows[0].at("state") == "limited");
+    CHECK(rows[0].at("rate_limit") == 5.0);
+    CHECK(rows[0].at("rate_share") == 0.5);
+    CHECK(rows[1].at("state") == "leaving");
+    CHECK(rows[1].at("leaving_s") == 3.0);
+    CHECK(rows[2].at("state") == "backoff");
+    CHECK(rows[2].at("backoff_s") == 2.5);
+    CHECK(rows[3].at("state") == "open");
+    CHECK(rows[3].at("rate_limit").is_null());
+}
