--- a/src/gateway/engineending_test.cpp
+++ b/src/gateway/engineending_test.cpp
@@ -261,7 +261,7 @@
     FragileFleet(std::size_t hosts, std::size_t count)
     {
         for (std::size_t i = 0; i < hosts; ++i) {
-            m_scenes.push_back(std::make_unique<Host>(m_io));
+            m_scenes.push_back(std::make_unique<FleetHost>(m_io, quickOptions()));
         }
         for (std::size_t i = 0; i < count; ++i) {
             m_endpoints.push_back(std::make_unique<FakeEndpoint>(m_io, [this, i](Peer &, const std::string &) { m_endpoints[i]->end(); }));
@@ -270,11 +270,11 @@
             listed.service = ShardId("s");
             listed.ip = "127.0.0.1";
             listed.port = m_endpoints.back()->port();
-            for (const std::unique_ptr<Host> &host : m_scenes) {
+            for (const std::unique_ptr<FleetHost> &host : m_scenes) {
                 host->gateway.putEndpoint(listed);
             }
         }
-        for (const std::unique_ptr<Host> &host : m_scenes) {
+        for (const std::unique_ptr<FleetHost> &host : m_scenes) {
             const auto tell = [this, from = host.get()](const SuspectNews &news) { tellOthers(from, news); };
             host->gateway.shareSuspects(tell, tell, [](const RequestIdentity &) { return true; });
         }
@@ -306,22 +306,7 @@
     std::size_t deafHost = 99; ///< hears nothing
 
 private:
-    struct Host
-    {
-        explicit Host(asio::io_context &io)
-            : log(std::make_shared<DecisionLog>("host", 1, open("/dev/null", O_WRONLY), WriterBounds(), SteadyClock::now()))
-            , gateway(io, quickOptions(), nativeDialect(), log, metrics)
-        {
-            static_cast<void>(gateway.listen());
-            gateway.setTable(Scene::table(1));
-            gateway.endpointsListed();
-        }
-        std::shared_ptr<DecisionLog> log;
-        Metrics metrics;
-        Gateway<SteadyClock> gateway;
-    };
-
-    void tellOthers(const Host *from, const SuspectNews &news)
+    void tellOthers(const FleetHost *from, const SuspectNews &news)
     {
         for (std::size_t i = 0; i < m_scenes.size(); ++i) {
             if (m_scenes[i].get() != from && i != deafHost) {
@@ -332,7 +317,7 @@
 
     asio::io_context m_io;
     std::vector<std::unique_ptr<FakeEndpoint>> m_endpoints;
-    std::vector<std::unique_ptr<Host>> m_scenes;
+    std::vector<std::unique_ptr<FleetHost>> m_scenes;
 };
 
 } // namespace
