Use the field's terms in the fleet slice and where others call it

No change of behaviour: ChangeTeller, DigestBook, EndpointRoll, SuspectDesk and SuspectNews become UpdateBroadcaster, DigestTable, EndpointRegistry, SuspectTracker and SuspectUpdate; heard(), tellAll(), tellNear(), passOn(), askPeers(), rumoured become receive(), broadcast(), sendNearBeacons(), forward(), requestFromPeers(), reported.

--- a/src/fleet/rosterfleet_test.cpp
+++ b/src/fleet/rosterfleet_test.cpp
@@ -176,7 +176,7 @@
         }
     }
 
-    // The same order as FleetService::tellPeers().
+    // The same order as FleetService::sendBeacons().
     void tell(std::size_t number)
     {
         Host &host = m_hosts[number];
@@ -243,7 +243,7 @@
             if (!to.view || m_isCut(datagram.from, datagram.to) || m_random.uniform() < m_lost) {
                 continue;
             }
-            if (datagram.beacon && to.view->heard(*datagram.beacon, now) && to.view->isRosterDue(now)) {
+            if (datagram.beacon && to.view->receive(*datagram.beacon, now) && to.view->isRosterDue(now)) {
                 to.greetings.push_back(datagram.from);
             }
             if (datagram.beacon && to.view->knowsFew(datagram.roster ? datagram.roster->hosts : 0, now) && ++to.answers <= 40) {
