--- a/src/gateway/mirrorhistory_test.cpp
+++ b/src/gateway/mirrorhistory_test.cpp
@@ -245,7 +245,7 @@
         Truth truth;
         Follower follower(truth);
         std::vector<MirrorChanges> batches;
-        for (int step = *rc::gen::inRange(5, 25); step > 0; --step) {
+        for (int step = *rc::gen::inRange(10, 40); step > 0; --step) {
             switch (*rc::gen::inRange(0, 7)) {
             case 0:
             case 1:
@@ -265,10 +265,10 @@
             case 4:
                 static_cast<void>(follower.mirror->take(truth.between(firstRevision, truth.revision())));
                 break;
-            case 5:
+            case 5: // a question; where the history is gone, a listing is under way
                 follower.dropsHistory = *rc::gen::arbitrary<bool>();
                 follower.mirror->ask();
-                follower.run();
+                follower.answerNext();
                 break;
             default:
                 follower.answerNext();
