Limit customers above their share in the gateway

Change: with gateway.customer_shares on, a call of a plain service asks for its customer's share once, before its first send; reports a start when an endpoint's head shows that it runs the request; and reports a request that ends because endpoints refused it as full. A refusal states "the customer is above its share" and the time at which the customer's next request is expected to be admitted at this host.

--- a/src/gateway/customershares_test.cpp
+++ b/src/gateway/customershares_test.cpp
@@ -1,6 +1,7 @@
 #include "gateway/customershares.h"
 
 #include "gateway/customershares_test.h"
+#include "gateway/gatewayfakes_test.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -16,13 +17,14 @@
 const CustomerId quiet("quiet");
 const TimePoint begin{100s};
 
-/** Ten seconds in which `hot` sends 40 requests a second and ten others 2 each; those of the others that find no slot are reported. */
-TimePoint overload(CustomerShares &shares, TimePoint now, bool isFull = true, int others = 10)
+/** Ten seconds in which `sender` sends 40 requests a second and ten others 2 each; those of the others that find no slot are reported. */
+TimePoint overload(CustomerShares &shares, TimePoint now, bool isFull = true, const CustomerId &sender = hot)
 {
+    constexpr int others = 10;
     for (int i = 0; i < 200; ++i, now += 50ms) {
         for (int j = 0; j < 2; ++j) {
-            if (shares.decide(plain, hot, {}, now).isAdmitted) {
-                shares.started(plain, hot, 1, now);
+            if (shares.decide(plain, sender, {}, now).isAdmitted) {
+                shares.started(plain, sender, 1, now);
             }
         }
         const CustomerId other("c" + std::to_string(i % others));
@@ -35,11 +37,11 @@
     return now;
 }
 
-/** Fraction of 100 requests of the customer that are admitted, none of which starts. */
+/** Fraction of 100 requests of the customer within a second that are admitted, none of which starts. */
 double admitted(CustomerShares &shares, const CustomerId &customer, TimePoint now)
 {
     int count = 0;
-    for (int i = 0; i < 100; ++i) {
+    for (int i = 0; i < 100; ++i, now += 10ms) {
         count += shares.decide(plain, customer, {}, now).isAdmitted ? 1 : 0;
     }
     return count / 100.0;
@@ -239,3 +241,69 @@
         }
     });
 }
+
+namespace
+{
+
+/** Sends 20 requests of customer "acme" in turn. @return their answers */
+std::vector<std::string> answersOf(GatewayTest::Scene &scene)
+{
+    std::vector<std::string> answers;
+    for (int i = 0; i < 20; ++i) {
+        const std::shared_ptr<GatewayTest::Peer> caller = scene.caller();
+        caller->send(GatewayTest::Scene::request("POST", "/unsafe/", "r" + std::to_string(i), {}, "x"));
+        REQUIRE(scene.until([&] { return wholeMessage(caller->received) > 0; }));
+        answers.push_back(caller->received);
+    }
+    return answers;
+}
+
+} // namespace
+
+TEST_CASE("the gateway refuses a customer above its share before it takes a slot, and says when to return", "[customer-shares][truthful-not-run]")
+{
+    const auto done = [](GatewayTest::Peer &peer, const std::string &request) { peer.send(GatewayTest::answerTo(request, 200, "done")); };
+    const auto full = [](GatewayTest::Peer &peer, const std::string &request) { peer.send(GatewayTest::answerTo(request, 503, "", "X-Not-Started: 1\r\n")); };
+    GatewayOptions options;
+    options.sharesByCustomer = true;
+    SECTION("while others lack slots")
+    {
+        GatewayTest::Scene scene(options);
+        const GatewayTest::FakeEndpoint &endpoint = scene.endpoint("e1", done);
+        overload(*scene.gateway.customerShares(), SteadyClock::now() - 10s, true, CustomerId("acme"));
+        const std::vector<std::string> answers = answersOf(scene);
+        const std::ptrdiff_t refused = std::ranges::count_if(answers, [](const std::string &answer) {
+            return GatewayTest::contains(answer, "503") && GatewayTest::contains(answer, "above its share") && !headerOf(answer, "Retry-After").empty();
+        });
+        CHECK(refused >= 5);
+        CHECK(std::ssize(endpoint.requests) == std::ssize(answers) - refused);
+        constexpr std::string_view decisions = "rhubarbwind_gateway_share_decisions_total";
+        CHECK(scene.metrics.value(decisions, {{"service", "s"}, {"decision", "above-share"}}) == static_cast<double>(refused));
+        // Served requests are counted as use.
+        CHECK(scene.gateway.customerShares()->rows(SteadyClock::now()).front().customer == CustomerId("acme"));
+    }
+    SECTION("a request that finds the endpoints full makes the service short; a stream does not")
+    {
+        GatewayTest::Scene scene(options);
+        scene.endpoint("e1", full);
+        for (const std::string target : {"/stream/", "/unsafe/"}) {
+            const std::shared_ptr<GatewayTest::Peer> caller = scene.caller();
+            caller->send(GatewayTest::Scene::request("POST", target, "r1", {}, "x"));
+            REQUIRE(scene.until([&] { return GatewayTest::contains(caller->received, "503"); }));
+            CHECK(scene.gateway.customerShares()->isShort(plain, SteadyClock::now()) == (target == "/unsafe/"));
+        }
+        CHECK(scene.gateway.customerShares()->sums(8, SteadyClock::now()).size() == 1);
+    }
+    SECTION("switched off, there are no shares and every request is sent")
+    {
+        options.sharesByCustomer = false;
+        GatewayTest::Scene scene(options);
+        const GatewayTest::FakeEndpoint &endpoint = scene.endpoint("e1", done);
+        REQUIRE(scene.gateway.customerShares() == nullptr);
+        for (const std::string &answer : answersOf(scene)) {
+            CHECK(GatewayTest::contains(answer, "done"));
+        }
+        CHECK(endpoint.requests.size() == 20);
+        CHECK_FALSE(GatewayTest::contains(scene.metrics.exposition(), "share_decisions"));
+    }
+}
