Rename the estimators of speed, and count pauses at busy endpoints apart

Pauses while prompts were read gave event times of up to eleven times the true one where nobody had other pauses.

Change: EndpointSpeedEstimator and ServiceSpeedEstimator. Pauses with unread tokens are dropped; those while a slowdown is stated count only when there are sixteen and no others.

--- a/src/placing/endpointselectorspeed.cpp
+++ b/src/placing/endpointselectorspeed.cpp
@@ -18,17 +18,17 @@
 
 } // namespace
 
-EndpointSpeed *EndpointSelector::learnedSpeed(State &state) const
+EndpointSpeedEstimator *EndpointSelector::learnedSpeed(State &state) const
 {
     if (m_options.learnsSpeed && !state.speed) {
-        state.speed = std::make_unique<EndpointSpeed>();
+        state.speed = std::make_unique<EndpointSpeedEstimator>();
     }
     return state.speed.get();
 }
 
 SpeedEstimate EndpointSelector::speedOf(const State &state, const Service &service, TimePoint now) const
 {
-    return state.speed ? state.speed->estimate(service.speed, now) : EndpointSpeed().estimate(service.speed, now);
+    return state.speed ? state.speed->estimate(service.speed, now) : EndpointSpeedEstimator().estimate(service.speed, now);
 }
 
 void EndpointSelector::useSpeed(State &state, const Service &service, TimePoint now) const
@@ -76,13 +76,13 @@
         paused(at, pause);
     }
     State *entry = state(at);
-    EndpointSpeed *speed = entry && work.promptTokens > 0 ? learnedSpeed(*entry) : nullptr;
+    EndpointSpeedEstimator *speed = entry && work.promptTokens > 0 ? learnedSpeed(*entry) : nullptr;
     if (!speed) {
         return;
     }
     ObservedPause observed;
     observed.ms = toSeconds(pause) * 1000;
-    observed.running = streamsAt(*entry, now);
+    observed.running = entry->running();
     observed.doublingStreams = m_services[entry->endpoint.service].pace.doublingStreams();
     observed.hasUnreadTokens = entry->unreadTokens + entry->peersUnread > 0;
     speed->observePause(observed, now);
@@ -96,7 +96,7 @@
 {
     waited(at, work, predictedMs, wait);
     State *entry = state(at);
-    if (EndpointSpeed *speed = entry ? learnedSpeed(*entry) : nullptr) {
+    if (EndpointSpeedEstimator *speed = entry ? learnedSpeed(*entry) : nullptr) {
         speed->observeFirstEvent({readTokens, predictedMs, toSeconds(wait) * 1000}, m_services[entry->endpoint.service].speed, now);
     }
 }
@@ -130,7 +130,7 @@
 {
     for (const SharedSpeed &speed : speeds) {
         State *entry = stateOf(speed.endpoint);
-        if (EndpointSpeed *learned = entry ? learnedSpeed(*entry) : nullptr) {
+        if (EndpointSpeedEstimator *learned = entry ? learnedSpeed(*entry) : nullptr) {
             learned->addPeer(speed, m_services[entry->endpoint.service].speed, now);
         }
     }
--- a/src/placing/endpointspeed.cpp
+++ b/src/placing/endpointspeed.cpp
@@ -18,10 +18,11 @@
 constexpr std::uint32_t maxStatedPercent = 2000;
 constexpr std::size_t minSamples = 4; ///< of pauses for an estimate
 // Most pauses at an engine are free of chunks and spells, and arrival times vary little, so a quantile just below the median is the usual pause.
-constexpr double pauseQuantile = 0.35;
-constexpr double lengthenedQuantile = 0.2; ///< of pauses that are most likely too long
-constexpr double peerQuantile = 0.4;
-constexpr double maxWeight = 32; ///< samples for which one host's figure counts, since those of one stream tell the same
+constexpr double pauseQuantile = 0.45;
+// While an endpoint states a slowdown its pauses count only if there are no others. A spell has fewer of them.
+constexpr std::size_t minDoubtful = 16;
+constexpr double peerQuantile = 0.25;
+constexpr double maxWeight = 16; ///< samples for which one host's figure counts, since those of one stream tell the same
 constexpr Duration slowdownLifetime = 450ms; ///< a report is 150 ms old when it arrives, and a spell lasts 600 ms
 constexpr Duration peerReportAge = 300ms; ///< since it arrived at the peer
 constexpr double notableSlowdown = 0.2; ///< on a logarithmic scale
@@ -75,31 +76,31 @@
     return m_total > 0 ? above / m_total : 0.0;
 }
 
-// ServiceSpeed.
+// ServiceSpeedEstimator.
 
-void ServiceSpeed::observeReport(double slowdown, TimePoint now)
+void ServiceSpeedEstimator::observeReport(double slowdown, TimePoint now)
 {
     m_slowdowns.observe(slowdown);
     m_reportedAt = now;
 }
 
-bool ServiceSpeed::isInForce(TimePoint now) const
+bool ServiceSpeedEstimator::isInForce(TimePoint now) const
 {
     constexpr Duration lifetime = 5s; // a host receives a few answers a second, from a service in light use fewer
     return m_reportedAt && now - *m_reportedAt < lifetime;
 }
 
-void ServiceSpeed::observeRead(double tokensPerMs, double eventMs)
+void ServiceSpeedEstimator::observeRead(double tokensPerMs, double eventMs)
 {
     // Waits are lengthened by prompts of other hosts more often than shortened by cached parts that this host does not know of.
-    constexpr double quantile = 0.6;
+    constexpr double quantile = 0.7;
     m_tokensPerEventTime.add(static_cast<float>(tokensPerMs * eventMs));
     std::array<float, 32> values{};
     std::ranges::copy(m_tokensPerEventTime, values.begin());
     m_usualTokensPerEventTime = quantileOf(values, m_tokensPerEventTime.count(), quantile);
 }
 
-double ServiceSpeed::tokensPerMs(double eventMs) const
+double ServiceSpeedEstimator::tokensPerMs(double eventMs) const
 {
     constexpr double statedWeight = 3; // samples that outweigh the stated rate
     constexpr double maxFactor = 8; // an engine of 25 or of 250 tokens per ms is within it of the default of 60
@@ -116,26 +117,29 @@
     return std::clamp(rate, m_statedTokensPerMs / maxFactor, m_statedTokensPerMs * maxFactor);
 }
 
-// EndpointSpeed.
+// EndpointSpeedEstimator.
 
-double EndpointSpeed::ownEventMs() const
+double EndpointSpeedEstimator::ownEventMs() const
 {
-    std::array<float, 40> values{};
-    const auto end = std::ranges::copy(m_pauses, values.begin()).out;
-    if (m_pauses.count() >= minSamples) {
+    const bool isClean = m_pauses.count() >= minSamples;
+    if (!isClean && m_doubtful.count() < minDoubtful) {
+        return 0;
+    }
+    std::array<float, 32> values{};
+    if (isClean) {
+        std::ranges::copy(m_pauses, values.begin());
         return quantileOf(values, m_pauses.count(), pauseQuantile);
     }
-    std::ranges::copy(m_lengthened, end);
-    const std::size_t count = m_pauses.count() + m_lengthened.count();
-    return count >= minSamples ? quantileOf(values, count, lengthenedQuantile) : 0.0;
+    std::ranges::copy(m_doubtful, values.begin());
+    return quantileOf(values, m_doubtful.count(), pauseQuantile);
 }
 
-double EndpointSpeed::ownWeight() const
+double EndpointSpeedEstimator::ownWeight() const
 {
     return m_pauses.count() >= minSamples ? static_cast<double>(m_pauses.count()) : 1.0;
 }
 
-void EndpointSpeed::merge()
+void EndpointSpeedEstimator::merge()
 {
     std::array<std::pair<double, double>, 9> figures; // event time and weight
     std::size_t count = 0;
@@ -165,40 +169,40 @@
     }
 }
 
-std::optional<double> EndpointSpeed::recentSlowdown(TimePoint now) const
+std::optional<double> EndpointSpeedEstimator::recentSlowdown(TimePoint now) const
 {
     return m_statedAt && now - *m_statedAt < slowdownLifetime ? std::optional(m_stated) : std::nullopt;
 }
 
-double EndpointSpeed::fading(TimePoint now) const
+double EndpointSpeedEstimator::fading(TimePoint now) const
 {
     return m_statedAt ? std::clamp(1 - toSeconds(now - *m_statedAt) / toSeconds(slowdownLifetime), 0.0, 1.0) : 0.0;
 }
 
-double EndpointSpeed::slowdown(TimePoint now) const
+double EndpointSpeedEstimator::slowdown(TimePoint now) const
 {
     const std::optional<double> stated = recentSlowdown(now);
     return stated && *stated != 1 ? std::pow(*stated, fading(now) * std::min(1.0, m_realShare)) : 1.0;
 }
 
-void EndpointSpeed::observePause(const ObservedPause &pause, TimePoint now)
+void EndpointSpeedEstimator::observePause(const ObservedPause &pause, TimePoint now)
 {
     const double doubling = std::max(1.0, pause.doublingStreams);
     const double ms = pause.ms * (doubling + 1) / (doubling + std::max(1.0, pause.running));
-    if (!(ms >= minEventMs) || !(ms <= maxEventMs)) {
+    if (pause.hasUnreadTokens || !(ms >= minEventMs) || !(ms <= maxEventMs)) {
         return;
     }
     const double stated = std::log(recentSlowdown(now).value_or(1));
     const bool statesChange = std::abs(stated) > notableSlowdown;
     constexpr double minFading = 0.5; // later the slowdown has probably ended
     const double expected = stated * fading(now);
-    if (statesChange && !pause.hasUnreadTokens && m_eventMs > 0 && expected / stated >= minFading) {
+    if (statesChange && m_eventMs > 0 && expected / stated >= minFading) {
         constexpr double weight = 0.06; // some tens of pauses decide, about one stream
         const double real = std::clamp(std::log(ms / m_eventMs) / expected, 0.0, 1 / minFading);
         m_realShare += weight * (real - m_realShare);
     }
-    if (statesChange || pause.hasUnreadTokens) {
-        m_lengthened.add(static_cast<float>(ms));
+    if (statesChange) {
+        m_doubtful.add(static_cast<float>(ms));
     } else {
         m_pauses.add(static_cast<float>(ms));
     }
@@ -207,9 +211,9 @@
     merge();
 }
 
-void EndpointSpeed::addRate(double tokensPerMs, ServiceSpeed &service)
+void EndpointSpeedEstimator::addRate(double tokensPerMs, ServiceSpeedEstimator &service)
 {
-    constexpr double quantile = 0.6; // as in ServiceSpeed
+    constexpr double quantile = 0.7; // as in ServiceSpeedEstimator
     m_rates.add(static_cast<float>(tokensPerMs));
     std::array<float, 8> values{};
     std::ranges::copy(m_rates, values.begin());
@@ -221,13 +225,13 @@
     }
 }
 
-void EndpointSpeed::observeFirstEvent(const ObservedFirstEvent &event, ServiceSpeed &service, TimePoint now)
+void EndpointSpeedEstimator::observeFirstEvent(const ObservedFirstEvent &event, ServiceSpeedEstimator &service, TimePoint now)
 {
     if (m_unpairedRate > 0 && m_eventMs > 0) {
         service.observeRead(std::exchange(m_unpairedRate, 0), m_eventMs);
     }
     constexpr std::uint32_t minTokens = 1024; // shorter prompts wait mostly for other things
-    constexpr double maxPredictedShare = 0.25; // beyond it the wait says more of other prompts
+    constexpr double maxPredictedShare = 0.05; // beyond it the wait says more of other prompts
     constexpr double networkMs = 3;
     if (event.readTokens < minTokens || !(event.predictedMs <= maxPredictedShare * event.waitMs)) {
         return;
@@ -245,7 +249,7 @@
     addRate(rate, service);
 }
 
-void EndpointSpeed::observeReport(std::uint32_t slowdownPercent, ServiceSpeed &service, TimePoint now)
+void EndpointSpeedEstimator::observeReport(std::uint32_t slowdownPercent, ServiceSpeedEstimator &service, TimePoint now)
 {
     if (slowdownPercent < minStatedPercent || slowdownPercent > maxStatedPercent) {
         return;
@@ -256,7 +260,7 @@
     service.observeReport(m_stated, now);
 }
 
-void EndpointSpeed::addPeer(const SharedSpeed &speed, ServiceSpeed &service, TimePoint now)
+void EndpointSpeedEstimator::addPeer(const SharedSpeed &speed, ServiceSpeedEstimator &service, TimePoint now)
 {
     constexpr double unitsPerMs = 100;
     constexpr double unitsPerToken = 10;
@@ -283,7 +287,7 @@
     }
 }
 
-SpeedEstimate EndpointSpeed::estimate(const ServiceSpeed &service, TimePoint now) const
+SpeedEstimate EndpointSpeedEstimator::estimate(const ServiceSpeedEstimator &service, TimePoint now) const
 {
     SpeedEstimate found;
     found.eventMs = m_eventMs > 0 ? m_eventMs : service.meanEventMs();
@@ -299,16 +303,16 @@
     return found;
 }
 
-double EndpointSpeed::novelty() const
+double EndpointSpeedEstimator::novelty() const
 {
     constexpr std::size_t minAnnounced = 6; // pauses
     constexpr double notable = 0.15; // of the event time, on a logarithmic scale
     constexpr double enoughPeerWeight = 3 * maxWeight;
     const double own = ownEventMs();
-    if (m_pauses.count() + m_lengthened.count() < minAnnounced || own <= 0) {
+    const bool isClean = m_pauses.count() >= minAnnounced;
+    if (own <= 0 || (!isClean && m_doubtful.count() < minDoubtful)) {
         return 0;
     }
-    const bool isClean = m_pauses.count() >= minAnnounced;
     if (m_announcedSamples > 0) {
         const double difference = std::abs(std::log(own / m_announcedEventMs));
         const bool hasMore = ownWeight() >= 3.0 * std::min<double>(m_announcedSamples, maxWeight) || m_ownSamples >= m_announcedSamples + 2 * maxWeight;
@@ -322,7 +326,7 @@
     return isNews ? difference + maxWeight / (maxWeight + m_peerWeight) : 0.0;
 }
 
-SharedSpeed EndpointSpeed::announce(std::uint32_t key, TimePoint now)
+SharedSpeed EndpointSpeedEstimator::announce(std::uint32_t key, TimePoint now)
 {
     constexpr double unitsPerMs = 100;
     constexpr double unitsPerToken = 10;
--- a/src/placing/endpointspeed.h
+++ b/src/placing/endpointspeed.h
@@ -82,11 +82,11 @@
 };
 
 /** What the endpoints of one service have in common. */
-class ServiceSpeed
+class ServiceSpeedEstimator
 {
 public:
     /** @param statedTokensPerMs read rate as stated for the deployment */
-    explicit ServiceSpeed(double statedTokensPerMs = 60)
+    explicit ServiceSpeedEstimator(double statedTokensPerMs = 60)
         : m_statedTokensPerMs(statedTokensPerMs)
     {
     }
@@ -139,19 +139,19 @@
     double waitMs = 0;
 };
 
-class EndpointSpeed
+class EndpointSpeedEstimator
 {
 public:
     static constexpr double minSlowdown = 0.5;
     static constexpr double maxSlowdown = 4.0; ///< limits the effect of a false report
 
     void observePause(const ObservedPause &pause, TimePoint now);
-    void observeFirstEvent(const ObservedFirstEvent &event, ServiceSpeed &service, TimePoint now);
+    void observeFirstEvent(const ObservedFirstEvent &event, ServiceSpeedEstimator &service, TimePoint now);
     /** @param slowdownPercent as reported: 100 is usual; zero: not stated */
-    void observeReport(std::uint32_t slowdownPercent, ServiceSpeed &service, TimePoint now);
-    void addPeer(const SharedSpeed &speed, ServiceSpeed &service, TimePoint now);
+    void observeReport(std::uint32_t slowdownPercent, ServiceSpeedEstimator &service, TimePoint now);
+    void addPeer(const SharedSpeed &speed, ServiceSpeedEstimator &service, TimePoint now);
 
-    SpeedEstimate estimate(const ServiceSpeed &service, TimePoint now) const;
+    SpeedEstimate estimate(const ServiceSpeedEstimator &service, TimePoint now) const;
     /** Time of an event with one stream; zero: no samples. */
     double eventMs() const
     {
@@ -188,10 +188,10 @@
     double fading(TimePoint now) const;
     /** The stated slowdown, of a report that is recent enough to tell a spell. */
     std::optional<double> recentSlowdown(TimePoint now) const;
-    void addRate(double tokensPerMs, ServiceSpeed &service);
+    void addRate(double tokensPerMs, ServiceSpeedEstimator &service);
 
     RecentValues<float, 32> m_pauses; ///< as with one stream, in ms
-    RecentValues<float, 8> m_lengthened; ///< the same while tokens were unread or a slowdown was stated
+    RecentValues<float, 24> m_doubtful; ///< the same while a slowdown was stated
     RecentValues<PeerFigure, 8> m_peers;
     RecentValues<float, 8> m_rates; ///< tokens per ms, from waits here and at peers
     double m_eventMs = 0; ///< of own and peers' samples
