--- a/src/placing/endpointselectorspeed.cpp
+++ b/src/placing/endpointselectorspeed.cpp
@@ -13,8 +13,8 @@
 
 // One entry takes 12 bytes. At this rate a host's beacons and the digests that forward them grow by less than 2% (docs/design/endpoint-speed.md), and each
 // engine of a fleet with about as many hosts is announced every other second.
-constexpr double announcementsPerSecond = 0.5;
-constexpr double maxSpeedAllowance = 12; ///< the first figures of a host that has just seen its first traffic
+constexpr double announcementsPerSecond = 0.2;
+constexpr double maxSpeedAllowance = 6; ///< the first figures of a host that has just seen its first traffic
 
 } // namespace
 
@@ -83,9 +83,10 @@
     ObservedPause observed;
     observed.ms = toSeconds(pause) * 1000;
     observed.running = entry->running();
-    observed.doublingStreams = m_services[entry->endpoint.service].pace.doublingStreams();
+    const Service &service = m_services[entry->endpoint.service];
+    observed.doublingStreams = service.pace.doublingStreams();
     observed.hasUnreadTokens = entry->unreadTokens + entry->peersUnread > 0;
-    speed->observePause(observed, now);
+    speed->observePause(observed, service.speed, now);
     if (speed->novelty() > 0) {
         m_speedNews.insert(at.id);
     }
--- a/src/placing/endpointspeed.cpp
+++ b/src/placing/endpointspeed.cpp
@@ -17,10 +17,12 @@
 constexpr std::uint32_t minStatedPercent = 10;
 constexpr std::uint32_t maxStatedPercent = 2000;
 constexpr std::size_t minSamples = 4; ///< of pauses for an estimate
-// Most pauses at an engine are free of chunks and spells, and arrival times vary little, so a quantile just below the median is the usual pause.
-constexpr double pauseQuantile = 0.45;
+constexpr double usualShare = 0.42; ///< of the pauses, that are free of chunks and spells even in the shortest streams
+constexpr double lengthenedShare = 0.2; ///< of pauses that are most likely too long
+constexpr double maxLengthened = 2.2; ///< of the service's mean; a chunk lengthens a pause by more
 // While an endpoint states a slowdown its pauses count only if there are no others. A spell has fewer of them.
 constexpr std::size_t minDoubtful = 16;
+constexpr std::size_t minLengthened = 6;
 constexpr double peerQuantile = 0.25;
 constexpr double maxWeight = 16; ///< samples for which one host's figure counts, since those of one stream tell the same
 constexpr Duration slowdownLifetime = 450ms; ///< a report is 150 ms old when it arrives, and a spell lasts 600 ms
@@ -36,6 +38,27 @@
     return *at;
 }
 
+/**
+ * The lowest value around which a share of the values lies. Unlike a quantile it is not biased by the scatter of arrival times, and unlike a mean or a
+ * median it ignores pauses that are longer than usual, as long as they are fewer than the rest.
+ * @param values reordered
+ */
+template <class Values>
+double lowestCluster(Values &values, std::size_t count, double share)
+{
+    constexpr double width = 1.6; // between the shortest and the longest
+    const auto end = values.begin() + static_cast<std::ptrdiff_t>(count);
+    std::sort(values.begin(), end);
+    const auto needed = static_cast<std::size_t>(std::max<double>(minSamples, std::ceil(share * static_cast<double>(count))));
+    for (auto first = values.begin(); first != end; ++first) {
+        const auto last = std::upper_bound(first, end, *first * width);
+        if (static_cast<std::size_t>(last - first) >= needed) {
+            return first[(last - first) / 2];
+        }
+    }
+    return values[static_cast<std::size_t>(share * static_cast<double>(count - 1))];
+}
+
 /** Mean on a logarithmic scale. */
 double blend(double left, double leftWeight, double right, double rightWeight)
 {
@@ -93,7 +116,7 @@
 void ServiceSpeedEstimator::observeRead(double tokensPerMs, double eventMs)
 {
     // Waits are lengthened by prompts of other hosts more often than shortened by cached parts that this host does not know of.
-    constexpr double quantile = 0.7;
+    constexpr double quantile = 0.8;
     m_tokensPerEventTime.add(static_cast<float>(tokensPerMs * eventMs));
     std::array<float, 32> values{};
     std::ranges::copy(m_tokensPerEventTime, values.begin());
@@ -102,7 +125,7 @@
 
 double ServiceSpeedEstimator::tokensPerMs(double eventMs) const
 {
-    constexpr double statedWeight = 3; // samples that outweigh the stated rate
+    constexpr double statedWeight = 5; // samples that outweigh the stated rate
     constexpr double maxFactor = 8; // an engine of 25 or of 250 tokens per ms is within it of the default of 60
     const double mean = m_meanEventMs > 0 ? m_meanEventMs : eventMs;
     if (mean <= 0) {
@@ -121,22 +144,28 @@
 
 double EndpointSpeedEstimator::ownEventMs() const
 {
-    const bool isClean = m_pauses.count() >= minSamples;
-    if (!isClean && m_doubtful.count() < minDoubtful) {
-        return 0;
-    }
     std::array<float, 32> values{};
-    if (isClean) {
+    if (m_pauses.count() >= minSamples) {
         std::ranges::copy(m_pauses, values.begin());
-        return quantileOf(values, m_pauses.count(), pauseQuantile);
+        return lowestCluster(values, m_pauses.count(), usualShare);
+    }
+    if (m_doubtful.count() >= minDoubtful) {
+        std::ranges::copy(m_doubtful, values.begin());
+        return lowestCluster(values, m_doubtful.count(), usualShare);
     }
-    std::ranges::copy(m_doubtful, values.begin());
-    return quantileOf(values, m_doubtful.count(), pauseQuantile);
+    const std::size_t count = m_lengthened.count() + m_pauses.count();
+    if (count >= minLengthened) {
+        std::ranges::copy(m_pauses, std::ranges::copy(m_lengthened, values.begin()).out);
+        const double found = lowestCluster(values, count, lengthenedShare);
+        return found <= m_maxLengthenedMs ? found : 0.0;
+    }
+    return 0;
 }
 
 double EndpointSpeedEstimator::ownWeight() const
 {
-    return m_pauses.count() >= minSamples ? static_cast<double>(m_pauses.count()) : 1.0;
+    constexpr double doubtfulWeight = 2;
+    return m_pauses.count() >= minSamples ? static_cast<double>(m_pauses.count()) : doubtfulWeight;
 }
 
 void EndpointSpeedEstimator::merge()
@@ -185,23 +214,26 @@
     return stated && *stated != 1 ? std::pow(*stated, fading(now) * std::min(1.0, m_realShare)) : 1.0;
 }
 
-void EndpointSpeedEstimator::observePause(const ObservedPause &pause, TimePoint now)
+void EndpointSpeedEstimator::observePause(const ObservedPause &pause, const ServiceSpeedEstimator &service, TimePoint now)
 {
     const double doubling = std::max(1.0, pause.doublingStreams);
     const double ms = pause.ms * (doubling + 1) / (doubling + std::max(1.0, pause.running));
-    if (pause.hasUnreadTokens || !(ms >= minEventMs) || !(ms <= maxEventMs)) {
+    if (!(ms >= minEventMs) || !(ms <= maxEventMs)) {
         return;
     }
     const double stated = std::log(recentSlowdown(now).value_or(1));
     const bool statesChange = std::abs(stated) > notableSlowdown;
     constexpr double minFading = 0.5; // later the slowdown has probably ended
     const double expected = stated * fading(now);
-    if (statesChange && m_eventMs > 0 && expected / stated >= minFading) {
+    if (statesChange && !pause.hasUnreadTokens && m_eventMs > 0 && expected / stated >= minFading) {
         constexpr double weight = 0.06; // some tens of pauses decide, about one stream
         const double real = std::clamp(std::log(ms / m_eventMs) / expected, 0.0, 1 / minFading);
         m_realShare += weight * (real - m_realShare);
     }
-    if (statesChange) {
+    m_maxLengthenedMs = maxLengthened * service.meanEventMs();
+    if (pause.hasUnreadTokens) {
+        m_lengthened.add(static_cast<float>(ms));
+    } else if (statesChange) {
         m_doubtful.add(static_cast<float>(ms));
     } else {
         m_pauses.add(static_cast<float>(ms));
@@ -213,7 +245,7 @@
 
 void EndpointSpeedEstimator::addRate(double tokensPerMs, ServiceSpeedEstimator &service)
 {
-    constexpr double quantile = 0.7; // as in ServiceSpeedEstimator
+    constexpr double quantile = 0.8; // as in ServiceSpeedEstimator
     m_rates.add(static_cast<float>(tokensPerMs));
     std::array<float, 8> values{};
     std::ranges::copy(m_rates, values.begin());
@@ -305,25 +337,26 @@
 
 double EndpointSpeedEstimator::novelty() const
 {
-    constexpr std::size_t minAnnounced = 6; // pauses
+    constexpr std::size_t minAnnounced = 4; // pauses
     constexpr double notable = 0.15; // of the event time, on a logarithmic scale
     constexpr double enoughPeerWeight = 3 * maxWeight;
     const double own = ownEventMs();
     const bool isClean = m_pauses.count() >= minAnnounced;
-    if (own <= 0 || (!isClean && m_doubtful.count() < minDoubtful)) {
+    if (own <= 0) {
         return 0;
     }
+    if (m_peerWeight <= 0 && m_announcedSamples == 0) {
+        return isClean ? 4.0 : 1.0;
+    }
+    const double peerDifference = m_peerWeight > 0 ? std::abs(std::log(own / m_peerEventMs)) : 0.0;
     if (m_announcedSamples > 0) {
         const double difference = std::abs(std::log(own / m_announcedEventMs));
-        const bool hasMore = ownWeight() >= 3.0 * std::min<double>(m_announcedSamples, maxWeight) || m_ownSamples >= m_announcedSamples + 2 * maxWeight;
-        return isClean && hasMore && difference > notable ? difference : 0.0;
-    }
-    if (m_peerWeight <= 0) {
-        return isClean ? 4.0 : 1.0;
+        const bool agreesWithPeers = m_peerWeight >= enoughPeerWeight && peerDifference <= notable;
+        const bool hasMore = m_ownSamples >= m_announcedSamples + maxWeight;
+        return isClean && hasMore && difference > notable && !agreesWithPeers ? difference : 0.0;
     }
-    const double difference = std::abs(std::log(own / m_peerEventMs));
-    const bool isNews = isClean && (m_peerWeight < enoughPeerWeight || difference > notable);
-    return isNews ? difference + maxWeight / (maxWeight + m_peerWeight) : 0.0;
+    const bool isNews = isClean && (m_peerWeight < enoughPeerWeight || peerDifference > notable);
+    return isNews ? peerDifference + maxWeight / (maxWeight + m_peerWeight) : 0.0;
 }
 
 SharedSpeed EndpointSpeedEstimator::announce(std::uint32_t key, TimePoint now)
--- a/src/placing/endpointspeed.h
+++ b/src/placing/endpointspeed.h
@@ -145,7 +145,7 @@
     static constexpr double minSlowdown = 0.5;
     static constexpr double maxSlowdown = 4.0; ///< limits the effect of a false report
 
-    void observePause(const ObservedPause &pause, TimePoint now);
+    void observePause(const ObservedPause &pause, const ServiceSpeedEstimator &service, TimePoint now);
     void observeFirstEvent(const ObservedFirstEvent &event, ServiceSpeedEstimator &service, TimePoint now);
     /** @param slowdownPercent as reported: 100 is usual; zero: not stated */
     void observeReport(std::uint32_t slowdownPercent, ServiceSpeedEstimator &service, TimePoint now);
@@ -192,6 +192,8 @@
 
     RecentValues<float, 32> m_pauses; ///< as with one stream, in ms
     RecentValues<float, 24> m_doubtful; ///< the same while a slowdown was stated
+    RecentValues<float, 24> m_lengthened; ///< the same while tokens were unread
+    double m_maxLengthenedMs = 0; ///< a higher value of m_lengthened is not used
     RecentValues<PeerFigure, 8> m_peers;
     RecentValues<float, 8> m_rates; ///< tokens per ms, from waits here and at peers
     double m_eventMs = 0; ///< of own and peers' samples
