--- a/src/placing/endpointselectorspeed.cpp
+++ b/src/placing/endpointselectorspeed.cpp
@@ -11,10 +11,10 @@
 namespace
 {
 
-// One entry takes 12 bytes. At this rate a host's beacons and the digests that forward them grow by less than 2% (docs/design/endpoint-speed.md), and each
-// engine of a fleet with about as many hosts is announced every other second.
-constexpr double announcementsPerSecond = 0.2;
-constexpr double maxSpeedAllowance = 6; ///< the first figures of a host that has just seen its first traffic
+// Bytes between the hosts of the fare collection deployment grow by 1.4% over a minute (docs/design/endpoint-speed.md). With as many hosts as engines, each
+// engine is announced several times in the first seconds and about every eight seconds later.
+constexpr double announcementsPerSecond = 0.15;
+constexpr double maxSpeedAllowance = 4; ///< the first figures of a host that has just seen its first traffic
 
 } // namespace
 
@@ -44,8 +44,10 @@
 
 void EndpointSelector::refreshSpeeds(Service &service, TimePoint now) const
 {
-    // A pass over the endpoints costs as much as a choice. Reports take effect at once, and the rest changes slowly.
-    constexpr Duration interval = 20ms;
+    // A pass over the endpoints costs more than a choice. Reports take effect at once, slowdowns fade within 450 ms, and the rest changes slowly.
+    constexpr Duration minInterval = 50ms;
+    constexpr Duration perEndpoint = 50us; // half a second at ten thousand
+    const Duration interval = std::max<Duration>(minInterval, perEndpoint * service.byLowLatencyRank.size());
     if (!m_options.learnsSpeed || now - service.speedsRefreshedAt < interval) {
         return;
     }
--- a/src/placing/endpointspeed.h
+++ b/src/placing/endpointspeed.h
@@ -7,10 +7,10 @@
 // configuration states either. A reported slowdown is relative to what is usual at the engine, so it says nothing about the usual speed. A host of 73 sees
 // an engine once in 20 s, so what its peers announce decides.
 //
-// Event time: the pauses of all streams, as they would be with one stream (a step takes longer with each stream, see steppace.h). A pause is counted apart
-// while prompt tokens are known to be unread at the endpoint, and while it states a slowdown; such pauses are used only until there are others. A low
-// quantile of the rest is not affected by spells and chunks that the host does not know of. The figures of peers are merged in the same way, weighted by
-// their samples.
+// Event time: the pauses of all streams, as they would be with one stream (a step takes longer with each stream, see steppace.h). The lowest cluster that
+// holds a share of them is the usual pause, which spells and prompts that the host does not know of don't move. Pauses while prompt tokens are known to be
+// unread at the endpoint, or while it states a slowdown, are kept apart and used only until there are others. The figures of peers are merged by a low
+// quantile, since their errors lie above the true value too.
 //
 // Read rate: decoding and reading scale alike with the speed of an engine, so the rate is inferred from its event time and the tokens that an engine of
 // the service reads in one event time. That product is the same for all engines of a service: it is learned from the waits for first events of all of
@@ -79,6 +79,7 @@
 
     std::array<double, 17> m_weights{}; ///< by bin; the last one holds all above
     double m_total = 0;
+    double m_weight = 1; ///< of the next report
 };
 
 /** What the endpoints of one service have in common. */
@@ -103,10 +104,7 @@
     /** An endpoint that takes `eventMs` for an event read prompts at this rate. */
     void observeRead(double tokensPerMs, double eventMs);
     /** Sets the mean over the endpoints with samples; zero: none has any. */
-    void setMeanEventMs(double ms)
-    {
-        m_meanEventMs = ms;
-    }
+    void setMeanEventMs(double ms);
     double meanEventMs() const
     {
         return m_meanEventMs;
@@ -115,12 +113,16 @@
     double tokensPerMs(double eventMs) const;
 
 private:
+    /** Prompt tokens that an endpoint reads in the time of one of its events, by the stated rate and the samples. */
+    double tokensPerEvent(double meanEventMs) const;
+
     double m_statedTokensPerMs;
     SlowdownShares m_slowdowns;
     std::optional<TimePoint> m_reportedAt;
     double m_meanEventMs = 0;
-    RecentValues<float, 32> m_tokensPerEventTime;
-    double m_usualTokensPerEventTime = 0; ///< of them; zero: none
+    double m_tokensPerEvent = 0; ///< as of the last change
+    RecentValues<float, 32> m_readSamples; ///< prompt tokens that an endpoint reads in the time of one of its events
+    double m_usualTokensPerEvent = 0; ///< of them; zero: none
 };
 
 /** A pause between two events of a stream, and what was known of the endpoint meanwhile. */
