--- a/src/placing/endpointselectorspeed.cpp
+++ b/src/placing/endpointselectorspeed.cpp
@@ -13,22 +13,22 @@
 
 // One entry takes 12 bytes. At this rate a host's beacons and the digests that forward them grow by less than 2% (docs/design/endpoint-speed.md), and each
 // engine of a fleet with about as many hosts is announced every other second.
-constexpr double announcementsPerSecond = 0.5;
-constexpr double maxSpeedAllowance = 12; ///< the first figures of a host that has just seen its first traffic
+constexpr double announcementsPerSecond = 0.2;
+constexpr double maxSpeedAllowance = 6; ///< the first figures of a host that has just seen its first traffic
 
 } // namespace
 
-EndpointSpeed *EndpointSelector::learnedSpeed(State &state) const
+EndpointSpeedEstimator *EndpointSelector::learnedSpeed(State &state) const
 {
     if (m_options.learnsSpeed && !state.speed) {
-        state.speed = std::make_unique<EndpointSpeed>();
+        state.speed = std::make_unique<EndpointSpeedEstimator>();
     }
     return state.speed.get();
 }
 
 SpeedEstimate EndpointSelector::speedOf(const State &state, const Service &service, TimePoint now) const
 {
-    return state.speed ? state.speed->estimate(service.speed, now) : EndpointSpeed().estimate(service.speed, now);
+    return state.speed ? state.speed->estimate(service.speed, now) : EndpointSpeedEstimator().estimate(service.speed, now);
 }
 
 void EndpointSelector::useSpeed(State &state, const Service &service, TimePoint now) const
@@ -76,16 +76,17 @@
         paused(at, pause);
     }
     State *entry = state(at);
-    EndpointSpeed *speed = entry && work.promptTokens > 0 ? learnedSpeed(*entry) : nullptr;
+    EndpointSpeedEstimator *speed = entry && work.promptTokens > 0 ? learnedSpeed(*entry) : nullptr;
     if (!speed) {
         return;
     }
     ObservedPause observed;
     observed.ms = toSeconds(pause) * 1000;
-    observed.running = streamsAt(*entry, now);
-    observed.doublingStreams = m_services[entry->endpoint.service].pace.doublingStreams();
+    observed.running = entry->running();
+    const Service &service = m_services[entry->endpoint.service];
+    observed.doublingStreams = service.pace.doublingStreams();
     observed.hasUnreadTokens = entry->unreadTokens + entry->peersUnread > 0;
-    speed->observePause(observed, now);
+    speed->observePause(observed, service.speed, now);
     if (speed->novelty() > 0) {
         m_speedNews.insert(at.id);
     }
@@ -96,7 +97,7 @@
 {
     waited(at, work, predictedMs, wait);
     State *entry = state(at);
-    if (EndpointSpeed *speed = entry ? learnedSpeed(*entry) : nullptr) {
+    if (EndpointSpeedEstimator *speed = entry ? learnedSpeed(*entry) : nullptr) {
         speed->observeFirstEvent({readTokens, predictedMs, toSeconds(wait) * 1000}, m_services[entry->endpoint.service].speed, now);
     }
 }
@@ -130,7 +131,7 @@
 {
     for (const SharedSpeed &speed : speeds) {
         State *entry = stateOf(speed.endpoint);
-        if (EndpointSpeed *learned = entry ? learnedSpeed(*entry) : nullptr) {
+        if (EndpointSpeedEstimator *learned = entry ? learnedSpeed(*entry) : nullptr) {
             learned->addPeer(speed, m_services[entry->endpoint.service].speed, now);
         }
     }
