--- a/src/placing/endpointspeed.h
+++ b/src/placing/endpointspeed.h
@@ -100,6 +100,11 @@
         return m_slowdowns.shareAbove(slowdown);
     }
 
+    const SlowdownShares &slowdowns() const
+    {
+        return m_slowdowns;
+    }
+
     /** An endpoint that takes `eventMs` for an event read prompts at this rate. */
     void observeRead(double tokensPerMs, double eventMs);
     /** Sets the mean over the endpoints with samples; zero: none has any. */
