--- a/src/placing/endpointselectorspeed.cpp
+++ b/src/placing/endpointselectorspeed.cpp
@@ -39,6 +39,7 @@
     const SpeedEstimate speed = speedOf(state, service, now);
     const double mean = service.speed.meanEventMs();
     state.promptTokensPerMs = speed.promptTokensPerMs / speed.slowdown;
+    state.estimate = speed;
     state.relativeEventTime = (mean > 0 ? speed.eventMs / mean : 1.0) * speed.slowdown;
 }
 
