--- a/src/gateway/answerends_test.cpp
+++ b/src/gateway/answerends_test.cpp
@@ -1,6 +1,6 @@
 // How answers end: whole, broken off, or only with their connection, over real sockets.
 
-#include "gateway/gatewayfakes_test.h"
+#include "gateway/cutlink_test.h"
 
 #include <catch2/catch.hpp>
 
@@ -174,3 +174,32 @@
     CHECK(answer.looksComplete);
     CHECK(answer.body == events(1, 4));
 }
+
+TEST_CASE("an answer that breaks off does not look complete to a caller without chunks", "[whole-answer]")
+{
+    // Failure: the connection of an HTTP/1.0 caller, whose answer has no framing, was closed in order when the answer broke off.
+    const std::string path = GENERATE(std::string("/stream/"), std::string("/unsafe/"));
+    const std::string version = GENERATE(std::string("HTTP/1.1"), std::string("HTTP/1.0"));
+    const Framing framing = GENERATE(Framing::CloseDelimited, Framing::Chunked, Framing::Length);
+    const bool isStream = path == "/stream/";
+    // Above the limit of held answers, so that a plain answer has begun.
+    const std::string body = isStream ? events(1, 2) : std::string(std::size_t{1200} * 1024, 'x');
+    Scene scene;
+    std::shared_ptr<Peer> stream;
+    scene.endpoint("e1", [&](Peer &peer, const std::string &request) {
+        stream = peer.shared_from_this();
+        const std::string head = isStream ? eventHead(request, framing, body.size() + 1)
+            : framing == Framing::Chunked ? headWith(request, "Transfer-Encoding: chunked\r\n")
+            : framing == Framing::Length  ? headWith(request, "Content-Length: " + std::to_string(body.size() + 1) + "\r\n")
+                                          : headWith(request, "");
+        peer.sendLarge(head + (framing == Framing::Chunked ? chunk(body) : body), [] {});
+    });
+    const std::shared_ptr<Peer> caller = scene.caller();
+    caller->send(requestAs(version, path));
+    REQUIRE(scene.until([&] { return readAnswer(*caller).body.size() >= (isStream ? body.size() : std::size_t{1} * 1024 * 1024); }));
+    framing == Framing::CloseDelimited ? stream->reset() : stream->finish();
+    const Received answer = answerOf(scene, caller);
+    CHECK(caller->closed);
+    CHECK_FALSE(answer.looksComplete);
+    CHECK(scene.gateway.counters().failed == 1);
+}
