--- a/src/gateway/answerends_test.cpp
+++ b/src/gateway/answerends_test.cpp
@@ -175,6 +175,24 @@
     CHECK(answer.body == events(1, 4));
 }
 
+TEST_CASE("a stream that ends before its first event gets no success", "[whole-answer][truthful-not-run]")
+{
+    // Failure: the connection ended in order before the first event was whole, and the caller got an empty stream as a success.
+    const std::string path = GENERATE(std::string("/stream/"), std::string("/resumable/"));
+    const std::string sent = GENERATE(std::string("HTTP/1.1 200 OK\r\nX-Requ"), std::string("head"), std::string("half"));
+    const bool isReset = GENERATE(true, false);
+    Scene scene;
+    scene.endpoint("e1", [&](Peer &peer, const std::string &request) {
+        const bool hasHead = sent == "head" || sent == "half";
+        peer.send(hasHead ? eventHead(request, Framing::CloseDelimited, 0) + (sent == "half" ? "data: hal" : "") : sent);
+        isReset ? peer.reset() : peer.finish();
+    });
+    const std::shared_ptr<Peer> caller = scene.caller();
+    caller->send(requestAs("HTTP/1.1", path));
+    CHECK(answerOf(scene, caller).status == "502");
+    CHECK(scene.gateway.counters().failed == 1);
+}
+
 TEST_CASE("an answer that breaks off does not look complete to a caller without chunks", "[whole-answer]")
 {
     // Failure: the connection of an HTTP/1.0 caller, whose answer has no framing, was closed in order when the answer broke off.
@@ -203,3 +221,30 @@
     CHECK_FALSE(answer.looksComplete);
     CHECK(scene.gateway.counters().failed == 1);
 }
+
+TEST_CASE("an event above the cutter's limit that breaks off does not look complete", "[whole-answer]")
+{
+    // Failure: an event of 300 KiB is forwarded in pieces, and its missing end is not noticed.
+    const std::string path = GENERATE(std::string("/stream/"), std::string("/resumable/"));
+    Scene scene;
+    scene.endpoint("e1", [&](Peer &peer, const std::string &request) {
+        const std::string part = eventHead(request, Framing::CloseDelimited, 0) + event(1) + "data: " + std::string(std::size_t{300} * 1024, 'x');
+        peer.sendLarge(part, [ended = peer.shared_from_this()] { ended->finish(); });
+    });
+    const std::shared_ptr<Peer> caller = scene.caller();
+    caller->send(requestAs("HTTP/1.1", path));
+    CHECK_FALSE(answerOf(scene, caller).looksComplete);
+    CHECK(scene.gateway.counters().failed == 1);
+}
+
+TEST_CASE("a plain answer that lacks one byte of its length is not delivered", "[whole-answer]")
+{
+    Scene scene;
+    scene.endpoint("e1", [&](Peer &peer, const std::string &request) {
+        peer.send(headWith(request, "Content-Length: 5\r\n") + "four");
+        peer.finish();
+    });
+    const std::shared_ptr<Peer> caller = scene.caller();
+    caller->send(requestAs("HTTP/1.1", "/unsafe/"));
+    CHECK(answerOf(scene, caller).status == "502");
+}
