--- a/src/gateway/answerends_test.cpp
+++ b/src/gateway/answerends_test.cpp
@@ -248,3 +248,23 @@
     caller->send(requestAs("HTTP/1.1", "/unsafe/"));
     CHECK(answerOf(scene, caller).status == "502");
 }
+
+TEST_CASE("an answer without a body gets no chunks", "[whole-answer]")
+{
+    // Failure: the answer to a HEAD request of a stream's route ended with a last chunk, which the caller took for the begin of its next answer.
+    const bool isHead = GENERATE(true, false);
+    const std::string framing = GENERATE(std::string(), std::string("Transfer-Encoding: chunked\r\n"));
+    Scene scene;
+    scene.endpoint("e1", [&](Peer &peer, const std::string &request) {
+        peer.send(isHead ? headWith(request, framing)
+                         : "HTTP/1.1 204 None\r\nX-Request-Id: " + headerOf(request, "X-Request-Id") + "\r\nX-Endpoint: sealed\r\n\r\n");
+        peer.finish();
+    });
+    const std::shared_ptr<Peer> caller = scene.caller();
+    caller->send(Scene::request(isHead ? "HEAD" : "POST", "/stream/", "r1", {}, isHead ? "" : "x"));
+    REQUIRE(scene.until([&] { return scene.gateway.counters().answered == 1; }));
+    scene.pass(20ms);
+    CHECK(caller->received.starts_with(isHead ? "HTTP/1.1 200" : "HTTP/1.1 204"));
+    CHECK(caller->received.ends_with("\r\n\r\n"));
+    CHECK_FALSE(contains(caller->received, "0\r\n\r\n"));
+}
