--- a/src/gateway/answerends_test.cpp
+++ b/src/gateway/answerends_test.cpp
@@ -3,6 +3,7 @@
 #include "gateway/cutlink_test.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
 
 using namespace Rhubarbwind;
 using namespace Rhubarbwind::GatewayTest;
@@ -193,6 +194,32 @@
     CHECK(scene.gateway.counters().failed == 1);
 }
 
+TEST_CASE("an answer that ends with its connection is delivered whole and keeps its framing", "[whole-answer]")
+{
+    // Failure: the caller got a length or a last chunk, a statement that the endpoint never made.
+    const std::string path = GENERATE(std::string("/stream/"), std::string("/resumable/"), std::string("/safe/"), std::string("/unsafe/"));
+    const std::string version = GENERATE(std::string("HTTP/1.1"), std::string("HTTP/1.0"));
+    const std::size_t size = GENERATE(std::size_t{100}, std::size_t{300} * 1024, std::size_t{1500} * 1024);
+    const bool isStream = path == "/stream/" || path == "/resumable/";
+    const std::string body = isStream ? events(1, 2) + "data: " + std::string(size, 'x') + "\n\n" : std::string(size, 'x');
+    Scene scene;
+    scene.endpoint("e1", [&](Peer &peer, const std::string &request) {
+        const std::string head = isStream ? eventHead(request, Framing::CloseDelimited, 0) : headWith(request, "");
+        peer.sendLarge(head + body, [ended = peer.shared_from_this()] { ended->finish(); });
+    });
+    const std::shared_ptr<Peer> caller = scene.caller();
+    caller->send(requestAs(version, path));
+    const Received answer = answerOf(scene, caller);
+    CHECK(answer.looksComplete);
+    CHECK(answer.body.size() == body.size());
+    CHECK(answer.body == body);
+    CHECK_FALSE(answer.isFramed);
+    CHECK(scene.gateway.counters().answered == 1);
+    const std::shared_ptr<Peer> next = scene.caller();
+    next->send(requestAs(version, path));
+    CHECK(answerOf(scene, next).looksComplete);
+}
+
 TEST_CASE("an answer that breaks off does not look complete to a caller without chunks", "[whole-answer]")
 {
     // Failure: the connection of an HTTP/1.0 caller, whose answer has no framing, was closed in order when the answer broke off.
@@ -268,3 +295,97 @@
     CHECK(caller->received.ends_with("\r\n\r\n"));
     CHECK_FALSE(contains(caller->received, "0\r\n\r\n"));
 }
+
+TEST_CASE("neither of two hosts turns a broken answer into a whole one, nor a whole one into a broken one", "[whole-answer]")
+{
+    // Failure: the host in front of a peer takes the end of the connection between hosts for the end of the endpoint's answer, or the peer its endpoint's.
+    const std::string path = GENERATE(std::string("/stream/"), std::string("/resumable/"), std::string("/unsafe/"));
+    const Framing framing = GENERATE(Framing::CloseDelimited, Framing::Chunked);
+    const bool isBroken = GENERATE(true, false);
+    const bool isStream = path != "/unsafe/";
+    const std::string body = isStream ? events(1, 3) : std::string(std::size_t{80} * 1024, 'x');
+    CutScene scene(2, [&](Peer &peer, const std::string &request) {
+        if (contains(request, "/safe/")) {
+            peer.send(answerTo(request, 200, "ok"));
+            return;
+        }
+        const std::string head = isStream ? eventHead(request, framing, 0)
+            : framing == Framing::Chunked ? headWith(request, "Transfer-Encoding: chunked\r\n")
+                                          : headWith(request, "");
+        if (!isBroken) {
+            peer.send(head + framed(framing, body));
+            peer.finish();
+            return;
+        }
+        const std::string part = isStream ? events(1, 2) + "id: 3\nda" : body;
+        peer.send(head + (framing == Framing::Chunked ? chunk(part) : part));
+        isStream ? peer.finish() : peer.reset();
+    });
+    scene.exchangeBeacons();
+    scene.cut(0, CutForm::Reset);
+    for (int i = 0; i < 8 && scene.hosts[0]->gateway.unreachableServices().empty(); ++i) {
+        scene.ask(0, "GET", "/safe/lost");
+    }
+    REQUIRE_FALSE(scene.hosts[0]->gateway.unreachableServices().empty());
+    const std::shared_ptr<Peer> caller = scene.caller(0);
+    caller->send(requestAs("HTTP/1.1", path));
+    const Received answer = answerOf(scene, caller);
+    INFO(path << ' ' << static_cast<int>(framing) << (isBroken ? " broken" : " whole"));
+    CHECK((answer.looksComplete && answer.status == "200") != isBroken);
+    if (!isBroken) {
+        CHECK(answer.body == body);
+        CHECK(answer.isFramed == (framing != Framing::CloseDelimited));
+    }
+}
+
+TEST_CASE("a stream cut at any place reaches its caller as a prefix in whole events", "[whole-answer]")
+{
+    rc::check("over framings, line ends, places and reads", [] {
+        const std::string end = *rc::gen::element(std::string("\n"), std::string("\r\n"), std::string("\r"));
+        const Framing framing = *rc::gen::element(Framing::CloseDelimited, Framing::Chunked, Framing::Length);
+        const std::string path = *rc::gen::element(std::string("/stream/"), std::string("/resumable/"));
+        const std::string version = *rc::gen::element(std::string("HTTP/1.1"), std::string("HTTP/1.0"));
+        const bool isReset = *rc::gen::arbitrary<bool>();
+        const int count = *rc::gen::inRange(1, 5);
+        std::string body;
+        for (int id = 1; id <= count; ++id) {
+            body += "id: " + std::to_string(id) + end + "data: some" + end + end;
+        }
+        const std::size_t cut = *rc::gen::oneOf(rc::gen::inRange<std::size_t>(0, body.size()), rc::gen::just(body.size()));
+        const bool isLastChunkSent = cut == body.size() && !isReset;
+        std::vector<std::string> pieces;
+        for (std::size_t at = 0; at < cut;) {
+            const std::size_t size = std::min(cut - at, *rc::gen::inRange<std::size_t>(1, 40));
+            pieces.push_back(framing == Framing::Chunked ? chunk(body.substr(at, size)) : body.substr(at, size));
+            at += size;
+        }
+        Scene scene;
+        std::shared_ptr<Peer> stream;
+        scene.endpoint("e1", [&](Peer &peer, const std::string &request) {
+            stream = peer.shared_from_this();
+            peer.send(eventHead(request, framing, body.size()));
+        });
+        const std::shared_ptr<Peer> caller = scene.caller();
+        caller->send(requestAs(version, path));
+        scene.until([&] { return stream != nullptr; });
+        for (const std::string &piece : pieces) {
+            stream->send(piece);
+            scene.io.restart();
+            scene.io.poll();
+        }
+        if (framing == Framing::Chunked && isLastChunkSent) {
+            stream->send("0\r\n\r\n");
+        }
+        isReset ? stream->reset() : stream->finish();
+        const Received answer = answerOf(scene, caller);
+        const bool isSuccess = answer.status == "200";
+        const std::string got = isSuccess ? answer.body : std::string();
+        RC_ASSERT(body.starts_with(got));
+        RC_ASSERT(endsAtEvent(got));
+        const bool isWholeByFraming = framing == Framing::Length ? cut == body.size() : framing == Framing::Chunked && isLastChunkSent;
+        const bool endsBetweenEvents = !isReset && cut > 0 && endsAtEvent(body.substr(0, cut));
+        const bool mayLookComplete = framing == Framing::CloseDelimited ? endsBetweenEvents : isWholeByFraming;
+        RC_ASSERT((isSuccess && answer.looksComplete) == mayLookComplete || (isReset && cut == body.size()));
+        RC_ASSERT(!mayLookComplete || !isSuccess || got == body.substr(0, cut) || isReset);
+    });
+}
