--- a/src/gateway/promptpartcrash_test.cpp
+++ b/src/gateway/promptpartcrash_test.cpp
@@ -18,7 +18,7 @@
 GatewayOptions shortEventOptions()
 {
     GatewayOptions options;
-    options.suspects.crashEventWindow = 100ms;
+    options.promptParts.rule.crashEventWindow = 100ms;
     return options;
 }
 
