--- a/src/gateway/finalrefusal_test.cpp
+++ b/src/gateway/finalrefusal_test.cpp
@@ -142,3 +142,39 @@
     CHECK(std::ranges::all_of(callers, [](const std::shared_ptr<Peer> &peer) { return peer->received.starts_with("HTTP/1.1 503"); }));
     CHECK(scene.gateway.running() == 0);
 }
+
+TEST_CASE("an unsigned 4xx of an endpoint is not passed on as an answer of this host", "[truthful-not-run]")
+{
+    // Guards against a stale or reused address whose process knows nothing of the request and turns it down.
+    RefusalScene scene;
+    const std::string notStarted = GENERATE(std::string("X-Not-Started: 1\r\n"), std::string());
+    const unsigned status = GENERATE(301U, 400U, 401U, 404U, 413U);
+    const auto refuses = [&](Peer &peer, const std::string &request) {
+        peer.send("HTTP/1.1 " + std::to_string(status) + " No\r\nX-Request-Id: " + headerOf(request, "X-Request-Id") + "\r\n" + notStarted
+                  + "Content-Length: 0\r\n\r\n");
+    };
+    INFO(status << " " << notStarted);
+    scene.endpoint("e1", refuses);
+    SECTION("another endpoint serves the request")
+    {
+        scene.endpoint("e2", answersOk);
+        CHECK(contains(scene.ask(Scene::request("GET", "/safe/", "r1")), "served"));
+    }
+    SECTION("there is no other")
+    {
+        const std::string answer = scene.ask(Scene::request("POST", "/unsafe/", "r1", {}, "x"));
+        CHECK(answer.starts_with(notStarted.empty() ? "HTTP/1.1 502" : "HTTP/1.1 503"));
+    }
+}
+
+TEST_CASE("a signed 4xx of an endpoint reaches the caller as it is", "[whole-answer]")
+{
+    // Guards against replacing an endpoint's own answer.
+    RefusalScene scene;
+    const std::string notStarted = GENERATE(std::string("X-Not-Started: 1\r\n"), std::string());
+    scene.endpoint("e1", [&](Peer &peer, const std::string &request) { peer.send(answerTo(request, 404, "no such document", notStarted)); });
+    const std::string answer = scene.ask(Scene::request("GET", "/safe/", "r1"));
+    CHECK(answer.starts_with("HTTP/1.1 404"));
+    CHECK(headerOf(answer, "X-Endpoint") == "sealed");
+    CHECK(contains(answer, "no such document"));
+}
