Reset connections whose request is cancelled

What callers saw: requests that reached endpoints and ran there seconds after their callers had left (GONE), 4.6 s later in the record.

Cause: cancel() closed the connection plainly. The kernel then goes on sending what it has buffered of the request, however late that is on a full link, and the endpoint runs a request that nobody waits for, or that has been sent to another endpoint meanwhile.

After a whole answer, and when idle, it is closed in order as before.

--- a/src/relay/endpointexchange.cpp
+++ b/src/relay/endpointexchange.cpp
@@ -96,7 +96,7 @@
     {
         m_open = false;
         m_events = {};
-        closeSocket();
+        closeSocket(true);
     }
 
 private:
@@ -204,17 +204,21 @@
             return;
         }
         m_open = false;
-        closeSocket();
+        closeSocket(how != ExchangeEnd::Whole);
         const ExchangeEvents events = std::exchange(m_events, {});
         if (events.onEnd) {
             events.onEnd(how);
         }
     }
 
-    void closeSocket()
+    /** @param discardsUnsent resets the connection: after a plain close the kernel goes on sending what it holds of the request */
+    void closeSocket(bool discardsUnsent)
     {
         m_timer.cancel();
         error_code ignored;
+        if (discardsUnsent) {
+            m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        }
         m_socket.close(ignored);
     }
 
