Bound what hosts send and forward about crashes

Cause: hosts that see the same crashes send the same entries, each update repeats the earlier ones, and relays forward all of it at once.

--- /dev/null
+++ b/src/fleet/crashupdatelimiter_test.cpp
@@ -0,0 +1,74 @@
+#include "fleet/crashupdatelimiter.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace Rhubarbwind;
+
+namespace
+{
+
+const TimePoint start = TimePoint() + 1h;
+
+SharedPartCrash crashOf(std::uint64_t part, std::uint64_t incarnation)
+{
+    SharedPartCrash crash;
+    crash.identityLow = part;
+    crash.incarnationKey = incarnation;
+    return crash;
+}
+
+} // namespace
+
+TEST_CASE("a crash is sent once, and again if it proves more", "[quarantine]")
+{
+    // Guards against lists of crashes that are sent whole with each further crash.
+    CrashUpdateLimiter limiter(start);
+    SuspectUpdate update{{}, {}, {crashOf(1, 1)}, {}};
+    REQUIRE(limiter.admit(update, 10, start));
+    CHECK(update.partCrashes.size() == 1);
+    CHECK_FALSE(limiter.admit(update, 10, start));
+    update.partCrashes = {crashOf(1, 1), crashOf(1, 2)};
+    REQUIRE(limiter.admit(update, 10, start));
+    CHECK(update.partCrashes == std::vector{crashOf(1, 2)});
+    update.partCrashes = {crashOf(1, 1)};
+    update.partCrashes.front().chance = 1;
+    CHECK(limiter.admit(update, 10, start));
+}
+
+TEST_CASE("an operator's order passes without budget", "[quarantine]")
+{
+    CrashUpdateLimiter limiter(start);
+    for (std::uint64_t i = 0; i < 1000; ++i) {
+        SuspectUpdate update{{}, {}, {crashOf(1, i)}, {}};
+        limiter.admit(update, 30, start);
+    }
+    SuspectUpdate evidence;
+    evidence.partEvidence.emplace_back();
+    CHECK_FALSE(limiter.admit(evidence, 30, start));
+    evidence.partEvidence.front().isLift = true;
+    CHECK(limiter.admit(evidence, 30, start));
+}
+
+TEST_CASE("updates on crashes stay within their budget, and none that was refused is lost for good", "[quarantine]")
+{
+    rc::prop("over random updates", [] {
+        CrashUpdateLimiter limiter(start);
+        TimePoint now = start;
+        double datagrams = 0;
+        const int steps = *rc::gen::inRange(1, 200);
+        for (int i = 0; i < steps; ++i) {
+            now += std::chrono::milliseconds(*rc::gen::inRange(0, 5));
+            const std::size_t targets = *rc::gen::inRange<std::size_t>(1, 200);
+            SuspectUpdate update{{}, {}, {crashOf(*rc::gen::inRange<std::uint64_t>(0, 20), *rc::gen::inRange<std::uint64_t>(0, 20))}, {}};
+            const bool wasSent = limiter.admit(update, targets, now);
+            datagrams += wasSent ? static_cast<double>(targets) : 0;
+            RC_ASSERT(datagrams <= CrashUpdateLimiter::burst + CrashUpdateLimiter::datagramsPerSecond * toSeconds(now - start) + 1e-6);
+            if (!wasSent && !update.partCrashes.empty()) {
+                RC_ASSERT(limiter.admit(update, 1, now + 10s));
+                now += 10s;
+                datagrams += 1;
+            }
+        }
+    });
+}
