--- a/src/gateway/callerleave_test.cpp
+++ b/src/gateway/callerleave_test.cpp
@@ -110,3 +110,40 @@
     const std::size_t arrived = endpoint.arrived();
     CHECK(endpoint.readRest() <= arrived);
 }
+
+TEST_CASE("no request is sent whose caller has left before the event loop sees it", "[at-most-once]")
+{
+    // Guards against events handled in the order of the loop: a late host sends a request while its kernel holds the close of the caller.
+    const bool isPooled = GENERATE(true, false);
+    const bool isHalfClose = GENERATE(true, false);
+    INFO((isPooled ? "idle connection" : "new connection") << (isHalfClose ? ", half-closed" : ", closed"));
+    Scene scene;
+    FakeEndpoint &endpoint = scene.endpoint("e1", [](Peer &peer, const std::string &request) {
+        if (request.starts_with("GET")) {
+            peer.send(answerTo(request, 200, "ok", "Keep-Alive: timeout=5\r\n"));
+        }
+    });
+    if (isPooled) {
+        const std::shared_ptr<Peer> first = scene.caller();
+        first->send(Scene::request("GET", "/safe/", "first"));
+        REQUIRE(scene.until([&] { return contains(first->received, "ok"); }));
+        endpoint.requests.clear();
+    }
+    const std::shared_ptr<Peer> caller = scene.caller();
+    scene.pass(20ms);
+    caller->send(Scene::request("POST", "/unsafe/", "r1", {}, "x"));
+    while (!isPooled && scene.gateway.counters().connects == 0) {
+        // One handler at a time, so that the connection is still being opened.
+        scene.io.restart();
+        scene.io.run_one();
+    }
+    isHalfClose ? caller->finish() : caller->close();
+    std::this_thread::sleep_for(20ms);
+    REQUIRE(scene.until([&] { return scene.gateway.counters().left == 1; }));
+    scene.pass(50ms);
+    CHECK(endpoint.requests.empty());
+    CHECK(scene.gateway.running() == 0);
+    const std::shared_ptr<Peer> next = scene.caller();
+    next->send(Scene::request("GET", "/safe/", "r2"));
+    CHECK(scene.until([&] { return contains(next->received, "ok"); }));
+}
