--- a/src/fleet/trafficmonitor.h
+++ b/src/fleet/trafficmonitor.h
@@ -16,8 +16,8 @@
     /** @return the bytes sent by content since the last report, once a second, if their sum is above the limit */
     std::optional<FleetTrafficBytes> tick(const FleetCounters &counters, TimePoint now);
 
-    /** A quarter of the smallest link, of 10 Mbit/s. */
-    static constexpr std::uint64_t maxBytesPerSecond = 312'500;
+    /** Half of a link of 10 Mbit/s. A relay's sums of loads take up to that at their peak. */
+    static constexpr std::uint64_t maxBytesPerSecond = 625'000;
 
 private:
     static constexpr Duration interval = 1s;
