--- a/src/gateway/appendedbody.h
+++ b/src/gateway/appendedbody.h
@@ -24,7 +24,7 @@
         return body.size();
     }
 
-    class reader
+    class reader // NOLINT(readability-identifier-naming): name set by Beast
     {
     public:
         template <bool isRequest, class Fields>
