Never drop what clears a request or part of a prompt

Without them other hosts go on blaming requests and parts that have been answered, and a small fleet, which sends each update to all hosts directly, would have dropped them after a crash of a few engines. Found by reading.

Change: the budget and the removal of repeats concern crashes alone; the rest of an update is always sent. The tests [quarantine] pass.

--- a/src/fleet/crashupdatelimiter.cpp
+++ b/src/fleet/crashupdatelimiter.cpp
@@ -1,6 +1,5 @@
 #include "fleet/crashupdatelimiter.h"
 
-#include <algorithm>
 #include <vector>
 
 namespace Rhubarbwind
@@ -38,10 +37,10 @@
     };
     std::erase_if(update.crashes, isSent);
     std::erase_if(update.partCrashes, isSent);
-    // An operator's order is not dropped.
-    const bool hasLift = std::ranges::any_of(update.partEvidence, &SharedPartEvidence::isLift);
-    if (update.empty() || !(m_datagrams.tryTake(static_cast<double>(datagrams), now) || hasLift)) {
-        return false;
+    if (!keys.empty() && !m_datagrams.tryTake(static_cast<double>(datagrams), now)) {
+        update.crashes.clear();
+        update.partCrashes.clear();
+        keys.clear();
     }
     for (const std::uint64_t key : keys) {
         if (m_sent.insert(key).second) {
@@ -52,7 +51,7 @@
         m_sent.erase(m_order.front());
         m_order.pop_front();
     }
-    return true;
+    return !update.empty();
 }
 
 } // namespace Rhubarbwind
