--- a/review/standins/latecopyend.cpp
+++ b/review/standins/latecopyend.cpp
@@ -1,6 +1,6 @@
 // Case: a faulty worker sends a second copy of an earlier answer late, at the point where the next answer is expected, and breaks that answer off.
 //
-// Usage: latecopyend ROOT FOLDER TROUBLE
+// Usage: latecopyend ROOT RECORD TROUBLE; RECORD is the path of record.txt
 // Exit: 1 the rule was broken, 0 it held, 2 the case couldn't run.
 
 #include "world.h"
@@ -221,9 +221,8 @@
     }
     signal(SIGPIPE, SIG_IGN);
     const std::string root = argv[1];
-    const std::string folder = argv[2];
     const bool trouble = std::string(argv[3]) != "0";
-    Record record(folder + "/record.txt");
+    Record record(argv[2]); // record.txt of the case
     char temporary[] = "/tmp/review-XXXXXX";
     const std::string prefix = freePrefix();
     if (mkdtemp(temporary) == nullptr || prefix.empty()) {
