Review case 2: name record.txt in the script

Claim: unchanged. run.sh now passes the path of record.txt to the stand-in, which wrote it beside run.sh before too.

--- a/review/standins/lateanswers.cpp
+++ b/review/standins/lateanswers.cpp
@@ -1,6 +1,6 @@
 // Case: workers that are full at times, some of which send a second copy of an answer late, at the point where the next answer is expected.
 //
-// Usage: lateanswers ROOT FOLDER TROUBLE
+// Usage: lateanswers ROOT RECORD TROUBLE; RECORD is the path of record.txt
 // Exit: 1 the rule was broken, 0 it held, 2 the case couldn't run.
 
 #include "world.h"
@@ -273,9 +273,8 @@
     }
     signal(SIGPIPE, SIG_IGN);
     const std::string root = argv[1];
-    const std::string folder = argv[2];
     const bool trouble = std::string(argv[3]) != "0";
-    Record record(folder + "/record.txt");
+    Record record(argv[2]); // record.txt of the case
     char temporary[] = "/tmp/review-XXXXXX";
     const std::string prefix = freePrefix();
     if (mkdtemp(temporary) == nullptr || prefix.empty()) {
