Keep the parser's assertions out of reach of how peers cut their messages

Callers saw their connections closed without an answer: a legal request, POST with chunks, an empty body and its last bytes in three segments (`0 CR LF`, `CR`, `LF`), ended the host with signal 6. Any caller could do so to any host, before anything was checked. So could endpoints, at the gateway and the relay, and whatever answers calls of the platform, with such an answer, and endpoints also by an end of the connection after `0 CR LF CR`.

Cause: parse_chunk_header() of Boost 1.81 parses the last chunk again after need_more and asserts at least five bytes, which is wrong where the last chunk is the first one: its line has three. Beast's own read operations pass all input on, so they have no place for a check.

Change: parseInput() passes such input on only when the shortest body, five bytes, has arrived; it also bounds chunk size lines and trailers, for all parsers alike. readHttp() replaces Beast's async_read functions at the platform's and endpoints' connections, the HTTP server of the relay and of the operators, and the tools. A body that ends there is complete at five bytes anyway, so nothing is delayed but a chunk of these very bytes.

--- a/src/load/caller.cpp
+++ b/src/load/caller.cpp
@@ -1,5 +1,7 @@
 #include "load/caller.h"
 
+#include "base/httpinput.h"
+
 #include <boost/json.hpp>
 
 #include <utility>
@@ -126,7 +128,7 @@
 template <Clock ClockType>
 void Caller<ClockType>::readHeader()
 {
-    Http::async_read_header(m_stream, m_buffer, m_parser, [self = this->shared_from_this()](const error_code &error, std::size_t) {
+    readHttp(m_stream, m_buffer, m_parser, HttpReadGoal::Head, [self = this->shared_from_this()](const error_code &error) {
         if (error) {
             self->finish(CallerOutcome::NoAnswer, "broke-before-answer");
             return;
@@ -145,7 +147,7 @@
         m_answer ? evaluateStream(true) : takeWhole();
         return;
     }
-    Http::async_read_some(m_stream, m_buffer, m_parser, [self = this->shared_from_this()](const error_code &error, std::size_t) {
+    readHttp(m_stream, m_buffer, m_parser, HttpReadGoal::Some, [self = this->shared_from_this()](const error_code &error) {
         if (!self->m_done) {
             return;
         }
--- a/src/relay/endpointexchange.cpp
+++ b/src/relay/endpointexchange.cpp
@@ -3,6 +3,7 @@
 
 #include "relay/endpointexchange.h"
 
+#include "base/httpinput.h"
 #include "base/sessiontimer.h"
 
 #include <boost/asio.hpp>
@@ -137,7 +138,7 @@
         m_parser.emplace();
         m_parser->header_limit(answerHeaderBytes);
         m_parser->body_limit(boost::none);
-        http::async_read_header(m_socket, m_buffer, *m_parser, [self = self()](error_code readError, std::size_t) { self->headerRead(readError); });
+        readHttp(m_socket, m_buffer, *m_parser, HttpReadGoal::Head, [self = self()](error_code readError) { self->headerRead(readError); });
     }
 
     void headerRead(error_code error)
@@ -171,7 +172,7 @@
         m_parser->get().body().data = m_bytes.data();
         m_parser->get().body().size = m_bytes.size();
         armTimer(m_bounds.silence, ExchangeEnd::Silent);
-        http::async_read_some(m_socket, m_buffer, *m_parser, [self = self()](error_code error, std::size_t) { self->bodyRead(error); });
+        readHttp(m_socket, m_buffer, *m_parser, HttpReadGoal::Some, [self = self()](error_code error) { self->bodyRead(error); });
     }
 
     void bodyRead(error_code error)
--- a/src/relay/httpserver.cpp
+++ b/src/relay/httpserver.cpp
@@ -7,6 +7,7 @@
 
 #include "relay/httpserver.h"
 
+#include "base/httpinput.h"
 #include "base/sessiontimer.h"
 #include "telemetry/log.h"
 
@@ -291,7 +292,7 @@
         m_state = State::Reading;
         armTimer(m_server->m_options.requestTimeout);
         const std::shared_ptr<Connection> self = this->shared_from_this();
-        http::async_read_header(m_socket, m_buffer, *m_parser, [self](error_code error, std::size_t) {
+        readHttp(m_socket, m_buffer, *m_parser, HttpReadGoal::Head, [self](error_code error) {
             if (self->m_state == State::Reading) {
                 self->headerRead(error);
             }
@@ -313,7 +314,7 @@
         }
         reserve(body);
         const std::shared_ptr<Connection> self = this->shared_from_this();
-        http::async_read(m_socket, m_buffer, *m_parser, [self](error_code readError, std::size_t) {
+        readHttp(m_socket, m_buffer, *m_parser, HttpReadGoal::Message, [self](error_code readError) {
             if (self->m_state == State::Reading) {
                 self->requestRead(readError);
             }
--- a/src/standins/standinhttp.cpp
+++ b/src/standins/standinhttp.cpp
@@ -1,5 +1,7 @@
 #include "standins/standinhttp.h"
 
+#include "base/httpinput.h"
+
 // HTTP chunks of streams are written directly. Events that arrive during a write are buffered and sent by the next one, so a slow reader costs memory up
 // to the limit, and no timer.
 
@@ -101,7 +103,7 @@
 {
     m_parser.emplace();
     m_parser->body_limit(m_limits.bodyBytes);
-    Http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, std::size_t) {
+    readHttp(m_stream, m_buffer, *m_parser, HttpReadGoal::Message, [self = shared_from_this()](const error_code &error) {
         if (self->m_silent) {
             return;
         }
