Refuse fields that the parser's container can't hold

Cause: Beast's fields hold 16-bit lengths and throw length_error for a name or a value of 65,534 bytes or more. header_limit() doesn't bound trailers, and the settings allow headers of up to 1 MB. So a caller's chunked request with such a trailer ended a host under any settings; an endpoint's or the platform's answer as well.

Change: parseInput() reports such a field as above the header limit: a caller gets 431, an endpoint's answer is malformed, a call has no answer.

--- a/src/base/httpinput.h
+++ b/src/base/httpinput.h
@@ -2,10 +2,11 @@
 
 // Parses HTTP/1.1 messages of peers that may send anything, in segments cut at any byte, and may end the connection after any byte.
 //
-// Beast's parser asserts its preconditions. Bytes from a peer can violate them in two ways, each of which would end the process; the functions below
-// handle them as errors or as input that is not complete yet:
+// Beast's parser asserts its preconditions, and throws for a field that its container can't hold. Bytes from a peer can lead to either in three ways, each
+// of which would end the process; the functions below handle them as errors or as input that is not complete yet:
 //   - A body whose first chunk is the last one, parsed again while it consists of `0 CR LF` and one more byte (Boost 1.81 asserts five).
 //   - An end of the connection before the first byte of a message, reported to the parser.
+//   - A trailer with a field of 64 KB or more. Trailers are not bounded by the parser's header_limit().
 
 #include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
@@ -15,6 +16,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include <cstddef>
+#include <stdexcept>
 #include <string_view>
 #include <utility>
 
@@ -46,7 +48,12 @@
         error = http::error::need_more;
         return;
     }
-    buffer.consume(parser.put(input, error));
+    try {
+        buffer.consume(parser.put(input, error));
+    } catch (const std::length_error &) {
+        error = http::error::header_limit;
+        return;
+    }
     if (error == http::error::need_more && parser.is_header_done() && buffer.size() > maxUnparsedBytes) {
         error = http::error::header_limit;
     }
--- a/src/gateway/messagesegments_test.cpp
+++ b/src/gateway/messagesegments_test.cpp
@@ -158,6 +158,17 @@
     std::shared_ptr<EchoOwner> owner;
 };
 
+/** Cuts for a long message, so that each segment fits into the socket's buffers. */
+std::vector<std::size_t> cutsEvery(std::size_t size)
+{
+    constexpr std::size_t segmentBytes = 8000;
+    std::vector<std::size_t> cuts;
+    for (std::size_t cut = segmentBytes; cut < size; cut += segmentBytes) {
+        cuts.push_back(cut);
+    }
+    return cuts;
+}
+
 std::string post(const FramedBody &body)
 {
     return "POST / HTTP/1.1\r\nHost: h\r\n" + body.fields + "\r\n" + body.bytes;
@@ -313,3 +324,26 @@
         exchange.connect();
     }
 }
+
+TEST_CASE("a field too large for the parser's container ends its own connection alone", "[whole-answer]")
+{
+    // Failure: Beast throws for a field of 64 KB or more, in a trailer or under a larger header limit; the exception ended the host.
+    const std::size_t size = GENERATE(std::size_t{60'000}, std::size_t{65'534}, std::size_t{200'000});
+    const bool isName = GENERATE(true, false);
+    const bool isTrailer = GENERATE(true, false);
+    const std::string field = isName ? std::string(size, 'x') + ": y\r\n" : "X: " + std::string(size, 'y') + "\r\n";
+    const FramedBody body =
+        isTrailer ? FramedBody{"", "Transfer-Encoding: chunked\r\n", "0\r\n" + field + "\r\n", ""} : FramedBody{"", field + "Content-Length: 0\r\n", "", ""};
+    const bool fits = size == 60'000;
+    INFO(size << " bytes in a " << (isName ? "name" : "value") << (isTrailer ? " of a trailer" : ""));
+    CallerExchange called;
+    called.owner->limits.headerBytes = std::size_t{1} << 20;
+    sendSegments(called.io, called.caller, post(body), cutsEvery(size));
+    REQUIRE(runUntil(called.io, [&] { return called.caller.available() > 0; }));
+    CHECK(called.received().starts_with(fits ? "HTTP/1.1 200" : "HTTP/1.1 431"));
+    CHECK(called.owner->bodies.size() == (fits ? 1U : 0U));
+    EndpointExchange exchange;
+    sendSegments(exchange.io, exchange.endpoint, answer(body), cutsEvery(size));
+    REQUIRE(runUntil(exchange.io, [&] { return exchange.ends.size() == 1; }));
+    CHECK((exchange.ends.front() == ReplyEnd::Whole) == (isTrailer && fits));
+}
--- a/src/platform/clientexchange_test.cpp
+++ b/src/platform/clientexchange_test.cpp
@@ -90,3 +90,14 @@
         REQUIRE((isWhole || call.results.front().error() == ExchangeError::NoAnswer));
     }
 }
+
+TEST_CASE("an answer with a trailer too large for the parser's container ends its own call alone")
+{
+    // Failure: Beast throws for a field of 64 KB or more in a trailer; the exception ended the host.
+    const std::string trailer = "X: " + std::string(GENERATE(std::size_t{65'534}, std::size_t{200'000}), 'y') + "\r\n";
+    CalledServer call;
+    const std::string bytes = answerWith({"", "Transfer-Encoding: chunked\r\n", "0\r\n" + trailer + "\r\n", ""});
+    sendSegments(call.io, call.server, bytes, {16'000, 32'000, 48'000, 64'000});
+    REQUIRE(runUntil(call.io, [&] { return call.results.size() == 1; }));
+    CHECK(call.results.front().has_error());
+}
