--- a/src/gateway/messagesegments_test.cpp
+++ b/src/gateway/messagesegments_test.cpp
@@ -100,7 +100,7 @@
     std::vector<ReplyEnd> ends;
 };
 
-/** Answers each request with the size of its body. */
+/** Keeps the body of each request and answers it at once. */
 struct EchoOwner : CallerOwner
 {
     TimePoint now() const override
--- a/src/relay/messagesegments_test.cpp
+++ b/src/relay/messagesegments_test.cpp
@@ -13,7 +13,7 @@
 
 using Tcp = asio::ip::tcp;
 
-/** A server that answers each request with the size of its body, and one caller. */
+/** A server that keeps the body of each request and answers it at once, and one caller. */
 struct CalledServer
 {
     CalledServer()
