Hold back every begin of a last chunk that the parser would assert on

The check knew only `0 CR LF`, and EndpointConnection parses what is buffered again when the connection ends.

Change: the check holds back any first line of a last chunk within four bytes.

--- a/src/base/httpinput.h
+++ b/src/base/httpinput.h
@@ -4,7 +4,7 @@
 //
 // Beast's parser asserts its preconditions, and throws for a field that its container can't hold. Bytes from a peer can lead to either in three ways, each
 // of which would end the process; the functions below handle them as errors or as input that is not complete yet:
-//   - A body whose first chunk is the last one, parsed again while it consists of `0 CR LF` and one more byte (Boost 1.81 asserts five).
+//   - A body whose first chunk is the last one, parsed again while it has four bytes, such as `0 CR LF CR` or `00 CR LF` (Boost 1.81 asserts five).
 //   - An end of the connection before the first byte of a message, reported to the parser.
 //   - A trailer with a field of 64 KB or more. Trailers are not bounded by the parser's header_limit().
 
@@ -26,13 +26,12 @@
 /** Limit in bytes of the size line or the trailer of a chunk. All other bytes after the head are consumed as they arrive. */
 constexpr std::size_t maxUnparsedBytes = std::size_t{64} * 1024;
 
-/** Whether `input` is at most the begin of a chunked body whose first chunk is the last one. */
+/** Whether `input` may be the begin of a chunked body whose first chunk is the last one, from the end of that chunk's line on. */
 template <bool isRequest>
 bool isPartOfLastChunk(const boost::beast::http::basic_parser<isRequest> &parser, std::string_view input)
 {
-    constexpr std::string_view lastChunk = "0\r\n";
     constexpr std::size_t shortestBody = 5;
-    return parser.is_header_done() && parser.chunked() && input.size() < shortestBody && input.starts_with(lastChunk);
+    return parser.is_header_done() && parser.chunked() && input.size() < shortestBody && input.starts_with('0') && input.find("\r\n") != std::string_view::npos;
 }
 
 /**
--- a/src/base/messageparts_test.h
+++ b/src/base/messageparts_test.h
@@ -34,6 +34,7 @@
         {"empty, in chunks, with a trailer", chunked, "0\r\nX: y\r\n\r\n", ""},
         {"empty, in chunks, with an extension", chunked, "0;e=v\r\n\r\n", ""},
         {"empty, in chunks, several zeros", chunked, "000\r\n\r\n", ""},
+        {"empty, in chunks, two zeros", chunked, "00\r\n\r\n", ""},
         {"one chunk", chunked, "5\r\nhello\r\n0\r\n\r\n", "hello"},
         {"chunks that contain a last chunk", chunked, "3\r\n0\r\n\r\n4\r\n0\r\n\r\r\n0\r\n\r\n", "0\r\n0\r\n\r"},
         {"chunks with extensions and trailers", chunked, "1;a=\"b\"\r\nh\r\n4\r\nello\r\n0\r\nX: y\r\nZ: z\r\n\r\n", "hello"},
