--- a/src/base/messageparts_test.h
+++ b/src/base/messageparts_test.h
@@ -59,6 +59,16 @@
     return cuts;
 }
 
+/** Each way to cut a message once, and its body, which begins at `body`, also in three segments. */
+inline std::vector<std::vector<std::size_t>> messageCuts(std::size_t size, std::size_t body)
+{
+    std::vector<std::vector<std::size_t>> cuts = cutsOf(size, body);
+    for (std::size_t cut = 1; cut < size; ++cut) {
+        cuts.push_back({cut});
+    }
+    return cuts;
+}
+
 /** Runs what is ready until the condition holds. @return false if it does not hold within a second */
 inline bool runUntil(boost::asio::io_context &io, const std::function<bool()> &condition)
 {
--- a/src/gateway/messagesegments_test.cpp
+++ b/src/gateway/messagesegments_test.cpp
@@ -292,12 +292,8 @@
     // parser.
     const FramedBody body = GENERATE(from_range(framedBodies()));
     const std::string bytes = post(body);
-    std::vector<std::vector<std::size_t>> cuts = cutsOf(bytes.size(), bytes.size() - body.bytes.size());
-    for (std::size_t cut = 1; cut < bytes.size(); ++cut) {
-        cuts.push_back({cut});
-    }
     CallerExchange exchange;
-    for (const std::vector<std::size_t> &cut : cuts) {
+    for (const std::vector<std::size_t> &cut : messageCuts(bytes.size(), bytes.size() - body.bytes.size())) {
         INFO(body.name << " cut at " << cut.front() << " and " << cut.back() << " of " << bytes.size() << " bytes");
         exchange.owner->bodies.clear();
         sendSegments(exchange.io, exchange.caller, bytes, cut);
--- a/src/platform/clientexchange_test.cpp
+++ b/src/platform/clientexchange_test.cpp
@@ -56,11 +56,7 @@
     // Failure: an assertion of the parser on an empty body in chunks, whose last chunk and end arrive in different segments, ended the host.
     const FramedBody body = GENERATE(from_range(framedBodies()));
     const std::string bytes = answerWith(body);
-    std::vector<std::vector<std::size_t>> cuts = cutsOf(bytes.size(), bytes.size() - body.bytes.size());
-    for (std::size_t cut = 1; cut < bytes.size(); ++cut) {
-        cuts.push_back({cut});
-    }
-    for (const std::vector<std::size_t> &cut : cuts) {
+    for (const std::vector<std::size_t> &cut : messageCuts(bytes.size(), bytes.size() - body.bytes.size())) {
         INFO(body.name << " cut at " << cut.front() << " and " << cut.back() << " of " << bytes.size() << " bytes");
         CalledServer call;
         sendSegments(call.io, call.server, bytes, cut);
--- a/src/relay/messagesegments_test.cpp
+++ b/src/relay/messagesegments_test.cpp
@@ -89,12 +89,8 @@
     // Failure: a legal request with an empty body in chunks, cut within its last five bytes, ended the host by an assertion of the parser.
     const FramedBody body = GENERATE(from_range(framedBodies()));
     const std::string bytes = post(body);
-    std::vector<std::vector<std::size_t>> cuts = cutsOf(bytes.size(), bytes.size() - body.bytes.size());
-    for (std::size_t cut = 1; cut < bytes.size(); ++cut) {
-        cuts.push_back({cut});
-    }
     CalledServer called;
-    for (const std::vector<std::size_t> &cut : cuts) {
+    for (const std::vector<std::size_t> &cut : messageCuts(bytes.size(), bytes.size() - body.bytes.size())) {
         INFO(body.name << " cut at " << cut.front() << " and " << cut.back() << " of " << bytes.size() << " bytes");
         called.bodies.clear();
         sendSegments(called.io, called.caller, bytes, cut);
--- a/src/standins/standinhttp.cpp
+++ b/src/standins/standinhttp.cpp
@@ -1,10 +1,10 @@
 #include "standins/standinhttp.h"
 
-#include "base/httpinput.h"
-
 // HTTP chunks of streams are written directly. Events that arrive during a write are buffered and sent by the next one, so a slow reader costs memory up
 // to the limit, and no timer.
 
+#include "base/httpinput.h"
+
 #include <algorithm>
 #include <charconv>
 
