Keep records of streams and of software versions on the platform

Callers of a fleet that lost power as a whole got 200 for streams joined of two versions, or 503 for every stream while two versions were listed. Cause: hosts without a past counted as witnesses (answers of hosts that know nothing, a current listing that says nothing of what served before), and all records of attempts were in the hosts' memory.

Now a host states what it knows of streams without a record: nothing until it has read the platform's record of the versions that have served, or has watched for as long as streams may be resumed. Without a record a stream goes on only at the one version that can have begun it. The record names a version before its first endpoint is used (at most 1 s later if the platform does not answer). While several versions serve, one host in some twenty writes which version each attempt was sent to, five times a second at most; a host that starts reads these before it decides. Nothing is written while one version serves. Resumptions are bound to the version in every case.

The test 'while one version serves ...' had hosts that had just started vouch for each other; they read a record first now, and its section of a second version that another host knows demands v1 instead of a refusal, since a stream of v2 would have a record there. What it guarded (a version watched by another host alone refuses) is a section of 'a stream without a record is refused ...'. The property no longer needs its clause for AnyVersion: a version is compared in every case.

Measured: gateway_test [whole-answer] passes.

--- /dev/null
+++ b/src/daemon/streamrecords.cpp
@@ -0,0 +1,234 @@
+#include "daemon/streamrecords.h"
+
+#include "base/requestid.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/json.hpp>
+#include <xxhash.h>
+
+namespace Rhubarbwind
+{
+
+namespace
+{
+
+constexpr Duration readRetryDelay = 200ms;
+// After its streams' time: hosts that end and start meanwhile have read a segment later.
+constexpr Duration leftoverDelay = 5s;
+constexpr std::size_t removalsPerTick = 2;
+constexpr std::string_view rankKey = "versions-writer";
+
+std::uint64_t keyOf(std::string_view text)
+{
+    return XXH3_64bits(text.data(), text.size());
+}
+
+/** A store keeps what was written as text or, where it parses values, as the document itself. */
+std::string textOf(const boost::json::value &content)
+{
+    return content.is_string() ? std::string(content.get_string()) : boost::json::serialize(content);
+}
+
+bool mayBeWritten(const PlatformError &error)
+{
+    return error.kind == PlatformErrorKind::Unknown || error.kind == PlatformErrorKind::Conflict || error.kind == PlatformErrorKind::NotFound;
+}
+
+} // namespace
+
+StreamRecords::StreamRecords(std::shared_ptr<PlatformConnections<SteadyClock>> connections,
+                             const SiteAdapter &adapter,
+                             std::string self,
+                             bool isFirstStart,
+                             Metrics &metrics,
+                             StreamRecordPorts ports)
+    : m_connections(std::move(connections))
+    , m_codec(adapter.codec)
+    , m_objects(m_connections, adapter.objects, adapter.streamKind)
+    , m_kind(adapter.streamKind)
+    , m_self(std::move(self))
+    , m_name(std::string(segmentNamePrefix) + m_self + "-" + freshId())
+    , m_isFirstStart(isFirstStart)
+    , m_metrics(metrics)
+    , m_ports(std::move(ports))
+    , m_segments(m_name)
+{
+}
+
+void StreamRecords::want(const ShardId &service, const SoftwareVersion &version, TimePoint now)
+{
+    m_versions.want(service, version, now);
+    writeVersions(now);
+}
+
+void StreamRecords::read()
+{
+    m_readAgainAt = TimePoint::max();
+    m_reading.emplace();
+    readPage({});
+}
+
+void StreamRecords::readPage(const std::string &after)
+{
+    m_metrics.add("rhubarbwind_stream_record_calls_total", {{"call", "list"}});
+    m_connections->call(CallKind::Read,
+                        m_codec.listCall(m_kind, after),
+                        Duration::zero(),
+                        [self = shared_from_this()](const PlatformResult<HttpAnswer> &answer) { self->handlePage(answer); });
+}
+
+void StreamRecords::handlePage(const PlatformResult<HttpAnswer> &answer)
+{
+    if (m_isStopped || !m_reading) {
+        return;
+    }
+    const Result<MirrorPage, MirrorError> page =
+        answer.has_error() ? Result<MirrorPage, MirrorError>(MirrorError::Unavailable) : m_codec.readPage(answer.value());
+    if (page.has_error()) {
+        m_reading.reset();
+        m_readAgainAt = SteadyClock::now() + readRetryDelay;
+        return;
+    }
+    m_reading->revision = m_reading->revision == 0 ? page.value().revision : m_reading->revision;
+    for (const MirroredObject &object : page.value().objects) {
+        readObject(object);
+    }
+    if (page.value().isPartial && !page.value().objects.empty()) {
+        readPage(page.value().objects.back().name);
+    } else {
+        endRead();
+    }
+}
+
+void StreamRecords::readObject(const MirroredObject &object)
+{
+    // Where kinds are prefixes, names begin with them.
+    const std::string_view whole = object.name;
+    const std::string_view name = whole.starts_with(m_kind) ? whole.substr(m_kind.size()) : whole;
+    if (name == versionRecordName) {
+        m_reading->version = object.revision;
+        m_reading->versions = parseRecordedVersions(textOf(object.content)).value_or(RecordedVersions());
+    } else if (name.starts_with(segmentNamePrefix)) {
+        const std::vector<SharedAttempt> records = parseAttempts(textOf(object.content)).value_or(std::vector<SharedAttempt>());
+        m_reading->attempts.insert(m_reading->attempts.end(), records.begin(), records.end());
+        const bool isKnown = std::ranges::any_of(m_leftovers, [&](const Leftover &each) { return each.segment.name == name; });
+        if (!name.starts_with(m_name) && !isKnown) {
+            m_leftovers.push_back({{std::string(name), object.revision}, SteadyClock::now()});
+        }
+    }
+}
+
+void StreamRecords::endRead()
+{
+    const Reading reading = *std::exchange(m_reading, std::nullopt);
+    RecordedVersions versions = reading.versions;
+    versions.isComplete = versions.isComplete || (reading.version == 0 && m_isFirstStart);
+    m_versions.setStored(versions, reading.version);
+    LogFields fields;
+    fields.number("attempts", static_cast<std::int64_t>(reading.attempts.size())).number("services", static_cast<std::int64_t>(versions.versions.size()));
+    fields.text("complete", versions.isComplete ? "yes" : "no");
+    m_ports.logEvent("stream-records-read", fields);
+    if (versions.isComplete) {
+        m_ports.onVersions(versions.versions, reading.revision);
+    }
+    m_ports.onAttempts(reading.attempts);
+}
+
+void StreamRecords::readVersions()
+{
+    m_isReadingVersions = true;
+    m_metrics.add("rhubarbwind_stream_record_calls_total", {{"call", "get"}});
+    m_objects.get(std::string(versionRecordName), [self = shared_from_this()](const PlatformResult<StoredObject> &object) {
+        self->m_isReadingVersions = false;
+        if (object.has_value()) {
+            self->m_versions.setStored(parseRecordedVersions(object.value().value).value_or(RecordedVersions()), object.value().version);
+        } else if (object.error().kind == PlatformErrorKind::NotFound) {
+            self->m_versions.setStored({}, 0);
+        } else {
+            self->m_versions.writeFailed(SteadyClock::now());
+        }
+    });
+}
+
+void StreamRecords::writeVersions(TimePoint now)
+{
+    const std::vector<VersionRow> serving = m_ports.serving();
+    const std::optional<ObjectWrite> write = m_versions.toWrite({m_ports.rank(keyOf(rankKey)), serving, m_ports.knowsPast()}, now);
+    if (!write) {
+        return;
+    }
+    m_metrics.add("rhubarbwind_stream_record_calls_total", {{"call", "versions"}});
+    m_objects.put(write->name, write->value, write->condition, [self = shared_from_this()](const PlatformResult<ObjectVersion> &result) {
+        if (self->m_isStopped) {
+            return;
+        }
+        if (result.has_error()) {
+            self->m_versions.writeFailed(SteadyClock::now());
+            return;
+        }
+        const std::vector<RecordedVersion> added = self->m_versions.written(result.value());
+        if (!added.empty()) {
+            self->m_ports.onRecorded(added);
+        }
+    });
+}
+
+void StreamRecords::writeSegment(TimePoint now)
+{
+    const std::optional<ObjectWrite> write = m_segments.toWrite(now);
+    if (!write) {
+        return;
+    }
+    m_metrics.add("rhubarbwind_stream_record_calls_total", {{"call", "attempts"}});
+    m_objects.put(write->name, write->value, write->condition, [self = shared_from_this()](const PlatformResult<ObjectVersion> &result) {
+        if (result.has_error()) {
+            self->m_segments.writeFailed(mayBeWritten(result.error()), SteadyClock::now());
+        } else {
+            self->m_segments.written(result.value(), SteadyClock::now());
+        }
+    });
+}
+
+bool StreamRecords::ownsLeftover(std::string_view name) const
+{
+    const std::size_t begin = segmentNamePrefix.size();
+    const std::string owner(name.substr(begin, name.find('-', begin) - begin));
+    return owner == m_self || (!m_ports.isAlive(owner) && m_ports.rank(keyOf(name)) == 0);
+}
+
+void StreamRecords::removeLeftovers(TimePoint now)
+{
+    for (const AttemptSegments::StoredSegment &segment : m_segments.takeExpired(now)) {
+        m_leftovers.push_back({segment, now - m_memory - leftoverDelay});
+    }
+    std::size_t removals = 0;
+    std::erase_if(m_leftovers, [&](const Leftover &leftover) {
+        if (now - leftover.readAt < m_memory + leftoverDelay || removals == removalsPerTick) {
+            return false;
+        }
+        if (ownsLeftover(leftover.segment.name)) {
+            ++removals;
+            m_metrics.add("rhubarbwind_stream_record_calls_total", {{"call", "remove"}});
+            m_objects.remove(leftover.segment.name, leftover.segment.version);
+        }
+        return true;
+    });
+}
+
+void StreamRecords::tick(TimePoint now)
+{
+    if (now >= m_readAgainAt) {
+        read();
+    }
+    if (!m_isReadingVersions && m_versions.needsRead(now)) {
+        readVersions();
+    }
+    writeVersions(now);
+    writeSegment(now);
+    removeLeftovers(now);
+    m_metrics.set("rhubarbwind_stream_records_unwritten", {}, static_cast<double>(m_segments.unwritten()));
+}
+
+} // namespace Rhubarbwind
--- /dev/null
+++ b/src/daemon/streamrecords.h
@@ -0,0 +1,126 @@
+#pragma once
+
+// Keeps what must survive a loss of power of all hosts in the platform's store: which software versions have served, and which version began which stream
+// while several served.
+//
+// Only wiring: VersionRecord and AttemptSegments decide what is written. After each complete listing of endpoints the records are read; until then this
+// host does not know which versions served before. Reads are repeated until one succeeds. Segments of hosts that are not alive any more are removed once
+// their streams can't be resumed, by the host that ranks first for each.
+//
+// Cost: one listing for each listing of endpoints; writes as versionrecord.h and attemptsegments.h state. Nothing is written while a service has one
+// version.
+
+#include "base/clock.h"
+#include "gateway/attemptsegments.h"
+#include "gateway/siteadapter.h"
+#include "gateway/versionrecord.h"
+#include "platform/objectsession.h"
+#include "telemetry/decisionlog.h"
+#include "telemetry/metrics.h"
+#include "wire/peernetwork.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Rhubarbwind
+{
+
+struct StreamRecordPorts
+{
+    std::function<std::vector<VersionRow>()> serving;
+    std::function<bool()> knowsPast; ///< this host knows what has served for as long as streams may be resumed
+    std::function<std::size_t(std::uint64_t key)> rank; ///< of this host by rendezvous hashing of the key
+    std::function<bool(const std::string &address)> isAlive; ///< of another host
+    std::function<void(const ServedVersions &versions, std::uint64_t revision)> onVersions; ///< a complete record was read
+    std::function<void(std::span<const SharedAttempt>)> onAttempts; ///< the records have been read
+    std::function<void(std::span<const RecordedVersion>)> onRecorded; ///< this host has written versions
+    std::function<void(std::string_view event, const LogFields &)> logEvent;
+};
+
+class StreamRecords : public std::enable_shared_from_this<StreamRecords>
+{
+public:
+    /** @param self address of this host  @param isFirstStart the whole system starts for the first time: nothing has served before */
+    StreamRecords(std::shared_ptr<PlatformConnections<SteadyClock>> connections,
+                  const SiteAdapter &adapter,
+                  std::string self,
+                  bool isFirstStart,
+                  Metrics &metrics,
+                  StreamRecordPorts ports);
+
+    /** Endpoints have been listed. */
+    void read();
+    void setMemory(Duration memory)
+    {
+        m_memory = memory;
+        m_segments.setMemory(memory);
+    }
+    bool isRecorded(const ShardId &service, const SoftwareVersion &version) const
+    {
+        return m_versions.isRecorded(service, version);
+    }
+    void want(const ShardId &service, const SoftwareVersion &version, TimePoint now);
+    void noteRecorded(std::span<const RecordedVersion> recorded)
+    {
+        m_versions.noteRecorded(recorded);
+    }
+    void write(const SharedAttempt &record, TimePoint now)
+    {
+        m_segments.put(record, now);
+    }
+    /** Call about ten times a second. */
+    void tick(TimePoint now);
+    void stop()
+    {
+        m_ports = {};
+        m_isStopped = true;
+    }
+
+private:
+    void readPage(const std::string &after);
+    void handlePage(const PlatformResult<HttpAnswer> &answer);
+    void readObject(const MirroredObject &object);
+    void endRead();
+    void readVersions();
+    void writeVersions(TimePoint now);
+    void writeSegment(TimePoint now);
+    void removeLeftovers(TimePoint now);
+    bool ownsLeftover(std::string_view name) const;
+
+    /** A listing in progress. */
+    struct Reading
+    {
+        RecordedVersions versions;
+        ObjectVersion version = 0; ///< of the versions' object; zero: there is none
+        std::uint64_t revision = 0; ///< of the first page
+        std::vector<SharedAttempt> attempts;
+    };
+    /** A segment of another start of a host. */
+    struct Leftover
+    {
+        AttemptSegments::StoredSegment segment;
+        TimePoint readAt;
+    };
+
+    std::shared_ptr<PlatformConnections<SteadyClock>> m_connections;
+    MirrorCodec m_codec;
+    ObjectSession<SteadyClock> m_objects;
+    std::string m_kind;
+    std::string m_self;
+    std::string m_name; ///< of this start, which begins the names of its segments
+    bool m_isFirstStart;
+    Metrics &m_metrics;
+    StreamRecordPorts m_ports;
+    VersionRecord m_versions;
+    AttemptSegments m_segments;
+    Duration m_memory = 30s;
+    std::optional<Reading> m_reading;
+    TimePoint m_readAgainAt = TimePoint::max();
+    bool m_isReadingVersions = false;
+    std::vector<Leftover> m_leftovers;
+    bool m_isStopped = false;
+};
+
+} // namespace Rhubarbwind
