Write versions once for a whole listing

Each endpoint of a listing built the rows of all serving versions to see whether a version had to be written: 3,800 times at the design size.

--- a/src/daemon/streamrecords.cpp
+++ b/src/daemon/streamrecords.cpp
@@ -57,12 +57,6 @@
 {
 }
 
-void StreamRecords::want(const ShardId &service, const SoftwareVersion &version, TimePoint now)
-{
-    m_versions.want(service, version, now);
-    writeVersions(now);
-}
-
 void StreamRecords::read()
 {
     m_readAgainAt = TimePoint::max();
--- a/src/daemon/streamrecords.h
+++ b/src/daemon/streamrecords.h
@@ -61,7 +61,13 @@
     {
         return m_versions.isRecorded(service, version);
     }
-    void want(const ShardId &service, const SoftwareVersion &version, TimePoint now);
+    /** An endpoint of this version is listed. Takes effect with the next tick() or writeVersions(). */
+    void want(const ShardId &service, const SoftwareVersion &version, TimePoint now)
+    {
+        m_versions.want(service, version, now);
+    }
+    /** Writes versions that are not on record, unless a host that ranks before is to do it. */
+    void writeVersions(TimePoint now);
     void noteRecorded(std::span<const RecordedVersion> recorded)
     {
         m_versions.noteRecorded(recorded);
@@ -84,7 +90,6 @@
     void readObject(const MirroredObject &object);
     void endRead();
     void readVersions();
-    void writeVersions(TimePoint now);
     void writeSegment(TimePoint now);
     void removeLeftovers(TimePoint now);
     bool ownsLeftover(std::string_view name) const;
