Write records of attempts sooner, under names that every store takes

Segments are written ten times a second at most now, as they grow.

A store with the project's own protocol refused segments, since their names had the colon of an address: the soak resumed 0 of 24 streams after a loss of power. Names have an underscore instead.

--- a/src/daemon/streamrecords.cpp
+++ b/src/daemon/streamrecords.cpp
@@ -38,9 +38,16 @@
 
 } // namespace
 
+std::string segmentOwner(const PeerAddress &host)
+{
+    std::string owner = host.ip + "_" + std::to_string(host.port);
+    std::ranges::replace(owner, ':', '_');
+    return owner;
+}
+
 StreamRecords::StreamRecords(std::shared_ptr<PlatformConnections<SteadyClock>> connections,
                              const SiteAdapter &adapter,
-                             std::string self,
+                             const PeerAddress &self,
                              bool isFirstStart,
                              Metrics &metrics,
                              StreamRecordPorts ports)
@@ -48,7 +55,7 @@
     , m_codec(adapter.codec)
     , m_objects(m_connections, adapter.objects, adapter.streamKind)
     , m_kind(adapter.streamKind)
-    , m_self(std::move(self))
+    , m_self(segmentOwner(self))
     , m_name(std::string(segmentNamePrefix) + m_self + "-" + freshId())
     , m_isFirstStart(isFirstStart)
     , m_metrics(metrics)
@@ -188,8 +195,10 @@
 bool StreamRecords::ownsLeftover(std::string_view name) const
 {
     const std::size_t begin = segmentNamePrefix.size();
-    const std::string owner(name.substr(begin, name.find('-', begin) - begin));
-    return owner == m_self || (!m_ports.isAlive(owner) && m_ports.rank(keyOf(name)) == 0);
+    const std::string_view owner = name.substr(begin, name.find('-', begin) - begin);
+    const std::vector<PeerAddress> live = m_ports.liveHosts();
+    const bool isAlive = std::ranges::any_of(live, [owner](const PeerAddress &host) { return segmentOwner(host) == owner; });
+    return owner == m_self || (!isAlive && m_ports.rank(keyOf(name)) == 0);
 }
 
 void StreamRecords::removeLeftovers(TimePoint now)
--- a/src/daemon/streamrecords.h
+++ b/src/daemon/streamrecords.h
@@ -27,12 +27,15 @@
 namespace Rhubarbwind
 {
 
+/** The host's part in names of its segments: not all stores take colons. */
+std::string segmentOwner(const PeerAddress &host);
+
 struct StreamRecordPorts
 {
     std::function<std::vector<VersionRow>()> serving;
     std::function<bool()> knowsPast; ///< this host knows what has served for as long as streams may be resumed
     std::function<std::size_t(std::uint64_t key)> rank; ///< of this host by rendezvous hashing of the key
-    std::function<bool(const std::string &address)> isAlive; ///< of another host
+    std::function<std::vector<PeerAddress>()> liveHosts; ///< without this one
     std::function<void(const ServedVersions &versions, std::uint64_t revision)> onVersions; ///< a complete record was read
     std::function<void(std::span<const SharedAttempt>)> onAttempts; ///< the records have been read
     std::function<void(std::span<const RecordedVersion>)> onRecorded; ///< this host has written versions
@@ -42,10 +45,10 @@
 class StreamRecords : public std::enable_shared_from_this<StreamRecords>
 {
 public:
-    /** @param self address of this host  @param isFirstStart the whole system starts for the first time: nothing has served before */
+    /** @param isFirstStart the whole system starts for the first time: nothing has served before */
     StreamRecords(std::shared_ptr<PlatformConnections<SteadyClock>> connections,
                   const SiteAdapter &adapter,
-                  std::string self,
+                  const PeerAddress &self,
                   bool isFirstStart,
                   Metrics &metrics,
                   StreamRecordPorts ports);
--- a/src/gateway/attemptsegments.h
+++ b/src/gateway/attemptsegments.h
@@ -2,7 +2,7 @@
 
 // Collects records of attempts into segments, objects that the platform stores. Decides what is written and removed; performs no I/O.
 //
-// A segment takes the records of an eighth of the time for which streams may be resumed, and is written again as it grows, at most five times a second. So
+// A segment takes the records of an eighth of the time for which streams may be resumed, and is written again as it grows, at most ten times a second. So
 // a write is small however many records are kept, and what a loss of power can cost is what was recorded since the last write. Of several records of an
 // attempt the last counts: the endpoints before have not begun its stream. A segment is removed when its streams can't be resumed any more. Segments of hosts that have ended are removed by the hosts that have read them (streamrecords.h).
 //
@@ -24,7 +24,7 @@
 {
 
 inline constexpr std::size_t maxSegmentRecords = 8192;
-/** Names of segments begin so, and continue with the host's address and the number of its start. */
+/** Names of segments begin so, and continue with the host and the number of its start. */
 inline constexpr std::string_view segmentNamePrefix = "attempts-";
 
 std::string formatAttempts(std::span<const SharedAttempt> records);
@@ -34,7 +34,7 @@
 class AttemptSegments
 {
 public:
-    static constexpr Duration writeInterval = 200ms;
+    static constexpr Duration writeInterval = 100ms;
     static constexpr int segmentsPerMemory = 8;
 
     /** @param name begins the names of all segments of this start of the host */
--- a/src/gateway/streamrecords_test.cpp
+++ b/src/gateway/streamrecords_test.cpp
@@ -480,13 +480,13 @@
     {
         segments.written(5, start);
         segments.put({2, 8, 1, Duration::zero()}, start + 100ms);
-        CHECK_FALSE(segments.toWrite(start + 199ms).has_value());
-        const std::optional<ObjectWrite> next = segments.toWrite(start + 200ms);
+        CHECK_FALSE(segments.toWrite(start + 99ms).has_value());
+        const std::optional<ObjectWrite> next = segments.toWrite(start + 100ms);
         REQUIRE(next.has_value());
         CHECK(next->name == write->name);
         CHECK(next->condition.version == 5);
         CHECK(parseAttempts(next->value)->size() == 2);
-        segments.written(6, start + 200ms);
+        segments.written(6, start + 100ms);
         segments.put({3, 8, 1, Duration::zero()}, start + 4s);
         CHECK(segments.toWrite(start + 4s)->name != write->name);
         segments.written(7, start + 4s);
@@ -500,17 +500,17 @@
         const SharedAttempt again{record.attempt, 8, record.service, Duration::zero()};
         segments.put(again, start + 10ms);
         segments.written(5, start + 20ms);
-        CHECK(parseAttempts(segments.toWrite(start + 200ms)->value) == std::vector{again});
+        CHECK(parseAttempts(segments.toWrite(start + 100ms)->value) == std::vector{again});
     }
     SECTION("refused")
     {
         segments.writeFailed(false, start);
-        CHECK(segments.toWrite(start + 200ms)->name == write->name);
+        CHECK(segments.toWrite(start + 100ms)->name == write->name);
     }
     SECTION("unknown whether stored")
     {
         segments.writeFailed(true, start);
-        const std::optional<ObjectWrite> next = segments.toWrite(start + 200ms);
+        const std::optional<ObjectWrite> next = segments.toWrite(start + 100ms);
         REQUIRE(next.has_value());
         CHECK(next->name != write->name);
         CHECK(parseAttempts(next->value) == std::vector{record});
