--- a/src/daemon/streamrecords.cpp
+++ b/src/daemon/streamrecords.cpp
@@ -14,7 +14,8 @@
 namespace
 {
 
-constexpr Duration readRetryDelay = 200ms;
+constexpr Duration firstReadRetry = 200ms;
+constexpr Duration maxReadRetry = 2s;
 // After its streams' time: hosts that end and start meanwhile have read a segment later.
 constexpr Duration leftoverDelay = 5s;
 constexpr std::size_t removalsPerTick = 2;
@@ -61,6 +62,8 @@
     , m_metrics(metrics)
     , m_ports(std::move(ports))
     , m_segments(m_name)
+    , m_random(keyOf(m_name))
+    , m_backoff(firstReadRetry, maxReadRetry)
 {
 }
 
@@ -68,6 +71,7 @@
 {
     m_readAgainAt = TimePoint::max();
     m_reading = Reading();
+    ++m_readNumber;
     readPage({});
 }
 
@@ -77,7 +81,11 @@
     m_connections->call(CallKind::Read,
                         m_codec.listCall(m_kind, after),
                         Duration::zero(),
-                        [self = shared_from_this()](const PlatformResult<HttpAnswer> &answer) { self->handlePage(answer); });
+                        [self = shared_from_this(), number = m_readNumber](const PlatformResult<HttpAnswer> &answer) {
+                            if (number == self->m_readNumber) {
+                                self->handlePage(answer);
+                            }
+                        });
 }
 
 void StreamRecords::handlePage(const PlatformResult<HttpAnswer> &answer)
@@ -89,7 +97,7 @@
         answer.has_error() ? Result<MirrorPage, MirrorError>(MirrorError::Unavailable) : m_codec.readPage(answer.value());
     if (page.has_error()) {
         m_reading.reset();
-        m_readAgainAt = SteadyClock::now() + readRetryDelay;
+        m_readAgainAt = SteadyClock::now() + m_backoff.next(m_random);
         return;
     }
     m_reading->revision = m_reading->revision == 0 ? page.value().revision : m_reading->revision;
@@ -126,7 +134,8 @@
     const Reading reading = *std::exchange(m_reading, std::nullopt);
     RecordedVersions versions = reading.versions;
     versions.isComplete = versions.isComplete || (reading.version == 0 && m_isFirstStart);
-    m_versions.setStored(versions, reading.version);
+    m_backoff.reset();
+    m_versions.setStored(versions, reading.version, versions.isComplete);
     LogFields fields;
     fields.number("attempts", static_cast<std::int64_t>(reading.attempts.size())).number("services", static_cast<std::int64_t>(versions.versions.size()));
     fields.text("complete", versions.isComplete ? "yes" : "no");
@@ -144,11 +153,11 @@
     m_objects.get(std::string(versionRecordName), [self = shared_from_this()](const PlatformResult<StoredObject> &object) {
         self->m_isReadingVersions = false;
         if (object.has_value()) {
-            self->m_versions.setStored(parseRecordedVersions(object.value().value).value_or(RecordedVersions()), object.value().version);
+            self->m_versions.setStored(parseRecordedVersions(object.value().value).value_or(RecordedVersions()), object.value().version, false);
         } else if (object.error().kind == PlatformErrorKind::NotFound) {
-            self->m_versions.setStored({}, 0);
+            self->m_versions.setStored({}, 0, false);
         } else {
-            self->m_versions.writeFailed(SteadyClock::now());
+            self->m_versions.readFailed(SteadyClock::now());
         }
     });
 }
@@ -161,19 +170,20 @@
         return;
     }
     m_metrics.add("rhubarbwind_stream_record_calls_total", {{"call", "versions"}});
-    m_objects.put(write->name, write->value, write->condition, [self = shared_from_this()](const PlatformResult<ObjectVersion> &result) {
-        if (self->m_isStopped) {
-            return;
-        }
-        if (result.has_error()) {
-            self->m_versions.writeFailed(SteadyClock::now());
-            return;
-        }
-        const std::vector<RecordedVersion> added = self->m_versions.written(result.value());
-        if (!added.empty()) {
-            self->m_ports.onRecorded(added);
-        }
-    });
+    m_objects.put(
+        write->name, write->value, write->condition, [self = shared_from_this(), number = write->number](const PlatformResult<ObjectVersion> &result) {
+            if (self->m_isStopped) {
+                return;
+            }
+            if (result.has_error()) {
+                self->m_versions.writeFailed(number, SteadyClock::now());
+                return;
+            }
+            const std::vector<RecordedVersion> added = self->m_versions.written(number, result.value());
+            if (!added.empty()) {
+                self->m_ports.onRecorded(added);
+            }
+        });
 }
 
 void StreamRecords::writeSegment(TimePoint now)
--- a/src/daemon/streamrecords.h
+++ b/src/daemon/streamrecords.h
@@ -10,7 +10,9 @@
 // Cost: one listing for each listing of endpoints; writes as versionrecord.h and attemptsegments.h state. Nothing is written while a service has one
 // version.
 
+#include "base/backoff.h"
 #include "base/clock.h"
+#include "base/random.h"
 #include "gateway/attemptsegments.h"
 #include "gateway/siteadapter.h"
 #include "gateway/versionrecord.h"
@@ -125,7 +127,10 @@
     AttemptSegments m_segments;
     Duration m_memory = 30s;
     std::optional<Reading> m_reading;
+    std::uint64_t m_readNumber = 0; ///< of the latest listing: answers of earlier ones are ignored
     TimePoint m_readAgainAt = TimePoint::max();
+    Random m_random;
+    Backoff m_backoff;
     bool m_isReadingVersions = false;
     std::vector<Leftover> m_leftovers;
     bool m_isStopped = false;
--- a/src/gateway/attemptsegments.cpp
+++ b/src/gateway/attemptsegments.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <map>
 #include <utility>
 
@@ -18,6 +19,7 @@
 namespace json = boost::json;
 
 constexpr std::size_t keyDigits = 16;
+constexpr ObjectVersion unknownVersion = std::numeric_limits<ObjectVersion>::max();
 constexpr int hexBase = 16;
 
 void appendKey(std::string &text, std::uint64_t key)
@@ -136,7 +138,7 @@
     m_writing = unwritten->name;
     m_writingChanges = unwritten->unwritten;
     const WriteCondition condition = unwritten->version == 0 ? WriteCondition::absent() : WriteCondition::atVersion(unwritten->version);
-    return ObjectWrite{unwritten->name, formatAttempts(unwritten->records), condition};
+    return ObjectWrite{0, unwritten->name, formatAttempts(unwritten->records), condition};
 }
 
 void AttemptSegments::written(ObjectVersion version, TimePoint now)
@@ -146,6 +148,7 @@
     if (segment == m_segments.end()) {
         return;
     }
+    m_retryDelay = writeInterval;
     segment->version = version;
     segment->unwritten -= m_writingChanges;
     const bool isFull = &*segment != &m_segments.back() || now - segment->begunAt >= m_memory / segmentsPerMemory;
@@ -160,15 +163,21 @@
 {
     const std::string name = std::exchange(m_writing, {});
     const auto segment = std::ranges::find(m_segments, name, &Segment::name);
+    m_retryDelay = std::min<Duration>(maxRetryDelay, m_retryDelay * 2);
+    m_lastWriteAt = now + m_retryDelay - writeInterval;
     if (!mayBeWritten || segment == m_segments.end()) {
         return;
     }
     const std::vector<SharedAttempt> records = std::exchange(segment->records, {});
     segment->places = {};
     segment->unwritten = 0;
+    segment->version = unknownVersion;
     segment->begunAt = now - m_memory / segmentsPerMemory; // takes no further records
     for (const SharedAttempt &record : records) {
-        put(record, now);
+        const auto hasLater = [&](const Segment &each) { return each.places.contains(record.attempt); };
+        if (std::ranges::none_of(m_segments, hasLater)) {
+            put(record, now);
+        }
     }
 }
 
@@ -176,8 +185,9 @@
 {
     std::vector<StoredSegment> expired;
     while (!m_segments.empty() && now - m_segments.front().lastPutAt >= m_memory && m_segments.front().name != m_writing) {
-        if (m_segments.front().version != 0) {
-            expired.push_back({m_segments.front().name, m_segments.front().version});
+        const ObjectVersion version = m_segments.front().version;
+        if (version != 0) {
+            expired.push_back({m_segments.front().name, version == unknownVersion ? 0 : version});
         }
         m_segments.pop_front();
     }
--- a/src/gateway/attemptsegments.h
+++ b/src/gateway/attemptsegments.h
@@ -4,7 +4,7 @@
 //
 // A segment takes the records of an eighth of the time for which streams may be resumed, and is written again as it grows, at most ten times a second. So
 // a write is small however many records are kept, and what a loss of power can cost is what was recorded since the last write. Of several records of an
-// attempt the last counts: the endpoints before have not begun its stream. A segment is removed when its streams can't be resumed any more. Segments of hosts that have ended are removed by the hosts that have read them (streamrecords.h).
+// attempt in a segment the last counts: the endpoints before have not begun its stream. A segment is removed when its streams can't be resumed any more. Segments of hosts that have ended are removed by the hosts that have read them (streamrecords.h).
 //
 // Size: 16 bytes for each record, at most maxSegmentRecords of them.
 
@@ -35,6 +35,7 @@
 {
 public:
     static constexpr Duration writeInterval = 100ms;
+    static constexpr Duration maxRetryDelay = 2s; ///< while writes fail
     static constexpr int segmentsPerMemory = 8;
 
     /** @param name begins the names of all segments of this start of the host */
@@ -57,7 +58,7 @@
     struct StoredSegment
     {
         std::string name;
-        ObjectVersion version = 0;
+        ObjectVersion version = 0; ///< zero: not known
     };
     /** Segments whose streams can't be resumed any more; each is returned once. */
     std::vector<StoredSegment> takeExpired(TimePoint now);
@@ -84,6 +85,7 @@
     std::string m_writing; ///< name of the segment; empty: no write is in progress
     std::size_t m_writingChanges = 0;
     TimePoint m_lastWriteAt{};
+    Duration m_retryDelay = writeInterval;
 };
 
 } // namespace Rhubarbwind
--- a/src/gateway/endpointgate.cpp
+++ b/src/gateway/endpointgate.cpp
@@ -27,7 +27,8 @@
                 m_passed.erase(before);
                 passed.push_back(change);
             }
-        } else if ((before != m_passed.end() && before->second.softwareVersion == change.endpoint.softwareVersion)
+        } else if ((before != m_passed.end() && before->second.softwareVersion == change.endpoint.softwareVersion
+                    && before->second.service == change.endpoint.service)
                    || mayPass(change.endpoint, isRecorded, now)) {
             m_held.erase(id);
             m_passed[id] = change.endpoint;
--- a/src/gateway/streamrecords_test.cpp
+++ b/src/gateway/streamrecords_test.cpp
@@ -79,6 +79,22 @@
         startAll(true);
     }
 
+    /** Ends a host and starts it anew; the others notice. */
+    void restart(std::size_t at)
+    {
+        m_hosts.at(at).reset();
+        for (const std::unique_ptr<Host> &other : m_hosts) {
+            if (other) {
+                other->versions.hostLost();
+            }
+        }
+        m_hosts.at(at) = std::make_unique<Host>(std::to_string(at) + "-" + std::to_string(++m_starts));
+        setPorts(at);
+        readStore(*m_hosts.at(at), false);
+        for (const auto &[id, endpoint] : listed) {
+            apply(at, {endpoint, false});
+        }
+    }
     /** Ends all hosts at once. */
     void killAll()
     {
@@ -207,7 +223,7 @@
             }
         }
         host.versions.beginWatch(now);
-        host.record.setStored(versions, version);
+        host.record.setStored(versions, version, versions.isComplete);
         if (versions.isComplete) {
             host.versions.setRecorded(versions.versions, m_store.revision + 1, now);
         }
@@ -248,15 +264,15 @@
         Host &host = *m_hosts.at(at);
         if (host.record.needsRead(now)) {
             const auto stored = m_store.objects.find(std::string(versionRecordName));
-            host.record.setStored(parseRecordedVersions(stored->second.second).value(), stored->second.first);
+            host.record.setStored(parseRecordedVersions(stored->second.second).value(), stored->second.first, false);
         }
         const std::vector<VersionRow> serving = host.versions.rows(now);
         if (const std::optional<ObjectWrite> write = host.record.toWrite({at, serving, host.versions.knowsPast(now)}, now)) {
             const ObjectVersion written = m_store.write(*write);
             if (written == 0) {
-                host.record.writeFailed(now);
+                host.record.writeFailed(write->number, now);
             } else {
-                const std::vector<RecordedVersion> added = host.record.written(written);
+                const std::vector<RecordedVersion> added = host.record.written(write->number, written);
                 for (const std::unique_ptr<Host> &other : m_hosts) {
                     if (other && other.get() != &host) {
                         other->record.noteRecorded(added);
@@ -350,6 +366,8 @@
                 fleet.pass(std::chrono::milliseconds(*rc::gen::inRange(0, 4) * 300));
             } else if (action == 5) {
                 fleet.pass(std::chrono::seconds(*rc::gen::inRange(0, 40)));
+            } else if (action == 6 && !isDown) {
+                fleet.restart(at);
             } else if (action < 12 && !isDown) {
                 const std::uint64_t attempt = began.size() + 1;
                 if (const std::optional<std::uint64_t> at1 = fleet.begin(at, attempt, static_cast<std::size_t>(step))) {
@@ -413,8 +431,8 @@
 {
     VersionRecord first;
     VersionRecord second;
-    first.setStored({{}, true}, 0);
-    second.setStored({{}, true}, 0);
+    first.setStored({{}, true}, 0, true);
+    second.setStored({{}, true}, 0, true);
     first.want(service, versionOf(1), start);
     second.want(service, versionOf(1), start);
     const std::vector<VersionRow> serving{{service, versionOf(1), 1}};
@@ -423,8 +441,8 @@
     CHECK(write->condition.kind == WriteCondition::Kind::Absent);
     CHECK_FALSE(first.toWrite({0, serving, false}, start).has_value());
     CHECK_FALSE(second.toWrite({1, serving, false}, start).has_value());
-    CHECK(parseRecordedVersions(write->value) == RecordedVersions{{{service, {versionOf(1)}}}, true});
-    const std::vector<RecordedVersion> added = first.written(3);
+    CHECK(parseRecordedVersions(write->value) == RecordedVersions{{{service, {versionOf(1)}}}, true, 1});
+    const std::vector<RecordedVersion> added = first.written(write->number, 3);
     REQUIRE(added.size() == 1);
     CHECK(first.isRecorded(service, versionOf(1)));
     SECTION("its message reaches the others")
@@ -435,34 +453,61 @@
     }
     SECTION("its message is lost")
     {
-        CHECK(second.toWrite({1, serving, false}, start + 1s).has_value());
-        second.writeFailed(start + 1s);
+        const std::optional<ObjectWrite> late = second.toWrite({1, serving, false}, start + 1s);
+        REQUIRE(late.has_value());
+        second.writeFailed(late->number, start + 1s);
         CHECK_FALSE(second.needsRead(start + 1s));
         CHECK(second.needsRead(start + 1s + VersionRecord::retryDelay));
-        second.setStored({{{service, {versionOf(1)}}}, true}, 3);
+        second.setStored({{{service, {versionOf(1)}}}, true}, 3, false);
         CHECK(second.isRecorded(service, versionOf(1)));
         CHECK_FALSE(second.toWrite({1, serving, false}, start + 10s).has_value());
     }
-    SECTION("the version is replaced")
+    SECTION("the version is replaced, and returns while a removal may be on its way")
     {
         first.want(service, versionOf(2), start);
         const std::vector<VersionRow> both{{service, versionOf(1), 0}, {service, versionOf(2), 1}};
-        CHECK(parseRecordedVersions(first.toWrite({0, both, false}, start)->value)->versions.at(service).size() == 2);
-        first.written(4);
+        const std::optional<ObjectWrite> added2 = first.toWrite({0, both, true}, start);
+        CHECK(parseRecordedVersions(added2->value)->versions.at(service).size() == 2);
+        first.written(added2->number, 4);
         const std::vector<VersionRow> later{{service, versionOf(2), 1}};
-        CHECK_FALSE(first.toWrite({1, later, false}, start + 30s).has_value());
-        CHECK(parseRecordedVersions(first.toWrite({0, later, false}, start + 30s)->value)->versions.at(service) == std::set{versionOf(2)});
+        CHECK_FALSE(first.toWrite({1, later, true}, start + 30s).has_value());
+        CHECK_FALSE(first.isRecorded(service, versionOf(1)));
+        const std::optional<ObjectWrite> removal = first.toWrite({0, later, true}, start + 30s);
+        CHECK(parseRecordedVersions(removal->value)->versions.at(service) == std::set{versionOf(2)});
+        first.writeFailed(removal->number, start + 30s);
+        first.want(service, versionOf(1), start + 31s);
+        first.setStored({{{service, {versionOf(1), versionOf(2)}}}, true, 2}, 4, false);
+        CHECK_FALSE(first.isRecorded(service, versionOf(1)));
+        const std::optional<ObjectWrite> again = first.toWrite({0, later, true}, start + 31s);
+        REQUIRE(again.has_value());
+        CHECK(again->condition.version == 4);
+        first.written(again->number, 5);
+        CHECK(first.isRecorded(service, versionOf(1)));
+    }
+    SECTION("the store has lost it, and it still serves")
+    {
+        first.setStored({{}, true, 1}, 2, true);
+        CHECK(parseRecordedVersions(first.toWrite({0, serving, true}, start)->value)->versions.at(service).size() == 1);
+    }
+    SECTION("the result of an earlier write arrives late")
+    {
+        first.setStored({{{service, {versionOf(1)}}}, true}, 3, true);
+        first.want(service, versionOf(2), start);
+        const std::optional<ObjectWrite> next = first.toWrite({0, serving, true}, start);
+        first.written(next->number - 1, 9);
+        CHECK_FALSE(first.isRecorded(service, versionOf(2)));
     }
 }
 
 TEST_CASE("a record that does not go back to the first start becomes complete when a host has watched for long enough")
 {
     VersionRecord record;
-    record.setStored({}, 0);
+    record.setStored({}, 0, false);
     record.want(service, versionOf(1), start);
     const std::vector<VersionRow> serving{{service, versionOf(1), 1}};
-    CHECK_FALSE(parseRecordedVersions(record.toWrite({0, serving, false}, start)->value)->isComplete);
-    record.written(1);
+    const std::optional<ObjectWrite> write = record.toWrite({0, serving, false}, start);
+    CHECK_FALSE(parseRecordedVersions(write->value)->isComplete);
+    record.written(write->number, 1);
     CHECK_FALSE(record.toWrite({0, serving, false}, start + 29s).has_value());
     CHECK(parseRecordedVersions(record.toWrite({0, serving, true}, start + 30s)->value)->isComplete);
 }
@@ -505,15 +550,28 @@
     SECTION("refused")
     {
         segments.writeFailed(false, start);
-        CHECK(segments.toWrite(start + 100ms)->name == write->name);
+        CHECK_FALSE(segments.toWrite(start + 199ms).has_value());
+        CHECK(segments.toWrite(start + 200ms)->name == write->name);
     }
     SECTION("unknown whether stored")
     {
         segments.writeFailed(true, start);
-        const std::optional<ObjectWrite> next = segments.toWrite(start + 100ms);
+        const std::optional<ObjectWrite> next = segments.toWrite(start + 200ms);
         REQUIRE(next.has_value());
         CHECK(next->name != write->name);
         CHECK(parseAttempts(next->value) == std::vector{record});
+        segments.written(6, start + 300ms);
+        const std::vector<AttemptSegments::StoredSegment> expired = segments.takeExpired(start + 40s);
+        REQUIRE(expired.size() == 2);
+        CHECK(expired.front().version == 0);
+    }
+    SECTION("unknown whether stored, and sent to another version meanwhile")
+    {
+        // Failure: the records of the failed write replace newer ones of a later segment.
+        const SharedAttempt again{record.attempt, 8, record.service, Duration::zero()};
+        segments.put(again, start + 4s);
+        segments.writeFailed(true, start + 4s);
+        CHECK(parseAttempts(segments.toWrite(start + 5s)->value) == std::vector{again});
     }
 }
 
--- a/src/gateway/versionrecord.cpp
+++ b/src/gateway/versionrecord.cpp
@@ -33,7 +33,7 @@
         }
         services[service.text()] = std::move(names);
     }
-    return json::serialize(json::object{{"complete", record.isComplete}, {"services", std::move(services)}});
+    return json::serialize(json::object{{"complete", record.isComplete}, {"writes", record.writes}, {"services", std::move(services)}});
 }
 
 std::optional<RecordedVersions> parseRecordedVersions(std::string_view text)
@@ -48,6 +48,11 @@
     }
     RecordedVersions record;
     record.isComplete = complete->get_bool();
+    const json::value *writes = object->if_contains("writes");
+    record.writes = writes == nullptr ? 0 : writes->to_number<std::uint64_t>(error);
+    if (error) {
+        return std::nullopt;
+    }
     for (const json::key_value_pair &entry : services->get_object()) {
         const json::array *names = entry.value().if_array();
         if (names == nullptr || !std::ranges::all_of(*names, [](const json::value &name) { return name.is_string(); })) {
@@ -61,7 +66,7 @@
     return record;
 }
 
-void VersionRecord::setStored(RecordedVersions stored, ObjectVersion version)
+void VersionRecord::setStored(RecordedVersions stored, ObjectVersion version, bool isServing)
 {
     m_stored = std::move(stored);
     m_version = version;
@@ -69,7 +74,14 @@
     m_hasFailed = false;
     m_writing.reset();
     m_recordedByPeers.clear();
-    std::erase_if(m_wanted, [this](const auto &entry) { return holds(entry.first); });
+    std::erase_if(m_wanted, [this](const auto &entry) { return holds(entry.first) && !m_ceased.contains(entry.first); });
+    if (isServing) {
+        for (const auto &[service, versions] : m_stored.versions) {
+            for (const SoftwareVersion &each : versions) {
+                m_seen.insert({service, each});
+            }
+        }
+    }
 }
 
 bool VersionRecord::holds(const ServiceVersion &version) const
@@ -80,7 +92,7 @@
 
 bool VersionRecord::isRecorded(const ShardId &service, const SoftwareVersion &version) const
 {
-    return m_recordedByPeers.contains(keysOf(service, version)) || holds({service, version});
+    return !m_ceased.contains({service, version}) && (m_recordedByPeers.contains(keysOf(service, version)) || holds({service, version}));
 }
 
 void VersionRecord::want(const ShardId &service, const SoftwareVersion &version, TimePoint now)
@@ -94,7 +106,28 @@
 void VersionRecord::noteRecorded(std::span<const RecordedVersion> recorded)
 {
     m_recordedByPeers.insert(recorded.begin(), recorded.end());
-    std::erase_if(m_wanted, [this](const auto &entry) { return m_recordedByPeers.contains(keysOf(entry.first.first, entry.first.second)); });
+    const auto isNoted = [&](const ServiceVersion &version) { return std::ranges::find(recorded, keysOf(version.first, version.second)) != recorded.end(); };
+    std::erase_if(m_ceased, isNoted);
+    std::erase_if(m_wanted, [&](const auto &entry) { return isNoted(entry.first); });
+}
+
+void VersionRecord::compare(std::span<const VersionRow> serving, TimePoint now)
+{
+    std::set<ServiceVersion> served;
+    for (const VersionRow &row : serving) {
+        served.insert({row.service, row.version});
+        if (row.endpoints > 0) {
+            want(row.service, row.version, now);
+        }
+    }
+    std::erase_if(m_seen, [&](const ServiceVersion &version) {
+        const bool hasCeased = !served.contains(version) && !m_wanted.contains(version);
+        if (hasCeased) {
+            m_ceased.insert(version);
+            m_recordedByPeers.erase(keysOf(version.first, version.second));
+        }
+        return hasCeased;
+    });
 }
 
 std::optional<ObjectWrite> VersionRecord::toWrite(const Situation &situation, TimePoint now)
@@ -102,55 +135,66 @@
     if (!m_isRead || m_writing || now < m_notBefore) {
         return std::nullopt;
     }
+    if (situation.knowsPast) {
+        compare(situation.serving, now);
+    }
     const Duration delay = situation.rank == 0 ? Duration::zero() : waitForFirst + waitPerRank * static_cast<Duration::rep>(situation.rank);
     RecordedVersions next = m_stored;
+    bool mustWrite = false;
     for (const auto &[version, since] : m_wanted) {
         if (now - since >= delay) {
             next.versions[version.first].insert(version.second);
+            mustWrite = true;
         }
     }
-    if (situation.rank == 0) {
-        next.isComplete = next.isComplete || situation.isComplete;
-        // Peers that write versions do not send their object: what is removed here is checked against the version of the object.
-        for (auto &[service, versions] : next.versions) {
-            std::erase_if(versions, [&, &id = service](const SoftwareVersion &version) {
-                const auto isSame = [&](const VersionRow &row) { return row.service == id && row.version == version; };
-                return m_seen.contains({id, version}) && !m_wanted.contains({id, version}) && std::ranges::none_of(situation.serving, isSame);
-            });
+    if (situation.rank == 0 && situation.knowsPast) {
+        next.isComplete = true;
+        for (const ServiceVersion &version : m_ceased) {
+            const auto found = next.versions.find(version.first);
+            if (found != next.versions.end() && !m_wanted.contains(version)) {
+                found->second.erase(version.second);
+            }
         }
         std::erase_if(next.versions, [](const auto &entry) { return entry.second.empty(); });
     }
-    if (next == m_stored) {
+    if (!mustWrite && next == m_stored) {
         return std::nullopt;
     }
+    ++next.writes;
     m_writing = next;
     const WriteCondition condition = m_version == 0 ? WriteCondition::absent() : WriteCondition::atVersion(m_version);
-    return ObjectWrite{std::string(versionRecordName), formatRecordedVersions(next), condition};
+    return ObjectWrite{++m_lastNumber, std::string(versionRecordName), formatRecordedVersions(next), condition};
 }
 
-std::vector<RecordedVersion> VersionRecord::written(ObjectVersion version)
+std::vector<RecordedVersion> VersionRecord::written(std::uint64_t number, ObjectVersion version)
 {
     std::vector<RecordedVersion> added;
-    if (!m_writing) {
+    if (!m_writing || number != m_lastNumber) {
         return added;
     }
-    const RecordedVersions before = std::exchange(m_stored, *std::exchange(m_writing, std::nullopt));
+    m_stored = *std::exchange(m_writing, std::nullopt);
     m_version = version;
-    for (const auto &[service, versions] : m_stored.versions) {
-        const auto known = before.versions.find(service);
-        for (const SoftwareVersion &each : versions) {
-            if (known == before.versions.end() || !known->second.contains(each)) {
-                added.push_back(keysOf(service, each));
-            }
+    std::erase_if(m_wanted, [&](const auto &entry) {
+        if (!holds(entry.first)) {
+            return false;
         }
-    }
-    std::erase_if(m_wanted, [this](const auto &entry) { return holds(entry.first); });
+        added.push_back(keysOf(entry.first.first, entry.first.second));
+        m_ceased.erase(entry.first);
+        return true;
+    });
     return added;
 }
 
-void VersionRecord::writeFailed(TimePoint now)
+void VersionRecord::writeFailed(std::uint64_t number, TimePoint now)
+{
+    if (m_writing && number == m_lastNumber) {
+        m_writing.reset();
+        readFailed(now);
+    }
+}
+
+void VersionRecord::readFailed(TimePoint now)
 {
-    m_writing.reset();
     m_isRead = false;
     m_hasFailed = true;
     m_notBefore = now + retryDelay;
