Don't take peers for silent after a stall of this host

What operators saw: a host that had stood still logged peer-silent for its peers, dropped what it knew of their loads and shares, and could take over watches, although the peers' beacons waited in its socket.

Cause: the tick that judges silence ran before the datagrams were read; and hosts of one machine that stand still together send no beacons meanwhile.

--- a/src/soak/latehost_test.cpp
+++ b/src/soak/latehost_test.cpp
@@ -89,7 +89,7 @@
     {
         tcp::socket socket(m_io);
         socket.connect({asio::ip::make_address(host.ip()), host.callersPort()});
-        const std::shared_ptr<Peer> made = std::make_shared<Peer>(std::move(socket));
+        std::shared_ptr<Peer> made = std::make_shared<Peer>(std::move(socket));
         made->read();
         return made;
     }
@@ -163,5 +163,8 @@
     CHECK(fleet.until([&] { return std::ranges::all_of(callers, [](const auto &caller) { return contains(caller->received, "done"); }); }, 4s));
     CHECK(fleet.leaves.requests.empty());
     CHECK(fleet.stays.requests.size() == 16);
+    fleet.pass(500ms);
     CHECK(contains(fleet.linesOf(2), "late-loop-caught-up"));
+    // Failure: the host took the time in which it had read nothing for its peers' silence.
+    CHECK_FALSE(contains(fleet.linesOf(2), "peer-silent"));
 }
