Decide requests after a stall by the newest configuration

What callers saw: a route or key that an operator had added while a host stood still was refused for good, if the request was read before the configuration.

Cause: the wait after a stall began with the choice of an endpoint; route, customer and the host's own refusals were decided before it.

--- a/src/gateway/lateloop.h
+++ b/src/gateway/lateloop.h
@@ -1,6 +1,7 @@
 #pragma once
 
-// Detects that the host's event loop stood still, and holds requests until the host knows again which endpoints have left.
+// Detects that the host's event loop stood still, and holds requests until the host knows again which endpoints have left and
+// which configuration is in force.
 //
 // Failure: a busy machine runs a host's process again after seconds. Its sockets hold requests and the news that an endpoint leaves, and are read in
 // any order, so requests were sent to endpoints that had long left. A datagram buffer that overflowed meanwhile has lost news, so requests are held until
@@ -22,7 +23,7 @@
 struct LateLoopPorts
 {
     std::function<void()> readWaiting; ///< reads the datagrams that have arrived
-    /** Who has confirmed since that time that this host knows all changes of endpoints; empty: nobody. */
+    /** Who has confirmed since that time that this host knows all changes of endpoints and configuration; empty: nobody. */
     std::function<std::string_view(TimePoint since)> confirmedBy;
 };
 
--- a/src/gateway/lateloop_test.cpp
+++ b/src/gateway/lateloop_test.cpp
@@ -18,7 +18,7 @@
     LateScene()
     {
         LateLoopPorts ports;
-        ports.readWaiting = [this] { gateway.removeEndpoint(EndpointId("leaves")); };
+        ports.readWaiting = [this] { onRead(); };
         ports.confirmedBy = [this](TimePoint) { return confirmedBy; };
         gateway.setLateLoopPorts(std::move(ports));
         pass(100ms);
@@ -29,6 +29,7 @@
     }
 
     FakeEndpoint &leaves = endpoint("leaves", answer);
+    std::function<void()> onRead = [this] { gateway.removeEndpoint(EndpointId("leaves")); };
     std::string_view confirmedBy;
 };
 
@@ -58,6 +59,22 @@
     CHECK(contains(scene.metrics.exposition(), "rhubarbwind_late_loop_holds_total{ended_by=\"peer\"} 1"));
 }
 
+TEST_CASE("a request that waited during a stall of the event loop is decided by the configuration that arrived meanwhile", "[config-monotonic]")
+{
+    // Failure: a route that the operator had added seconds before was refused, because the request was read before the new configuration.
+    LateScene scene;
+    scene.endpoint("stays", LateScene::answer);
+    const std::vector<Route> routes{Scene::route("/new/", RouteKind::Safe, 2)};
+    scene.onRead = [&] { scene.gateway.setTable(std::make_shared<RouteTable>(2, routes, std::vector<RouteService>(), RouteLimits())); };
+    scene.confirmedBy = "peer";
+    const std::shared_ptr<Peer> caller = scene.caller();
+    scene.pass(50ms);
+    caller->send(Scene::request("GET", "/new/x", "r1"));
+    std::this_thread::sleep_for(stall);
+    CHECK(scene.until([&] { return !caller->received.empty(); }));
+    CHECK(contains(caller->received, "done"));
+}
+
 TEST_CASE("a host that nobody confirms anything to holds requests for a second after a stall", "[drain]")
 {
     TimePoint now{1h};
