--- a/src/gateway/attemptsegments.h
+++ b/src/gateway/attemptsegments.h
@@ -4,7 +4,8 @@
 //
 // A segment takes the records of an eighth of the time for which streams may be resumed, and is written again as it grows, at most ten times a second. So
 // a write is small however many records are kept, and what a loss of power can cost is what was recorded since the last write. Of several records of an
-// attempt in a segment the last counts: the endpoints before have not begun its stream. A segment is removed when its streams can't be resumed any more. Segments of hosts that have ended are removed by the hosts that have read them (streamrecords.h).
+// attempt in a segment the last counts: the endpoints before have not begun its stream. A segment is removed when its streams can't be resumed any more;
+// segments of hosts that have ended are removed by the hosts that have read them (streamrecords.h).
 //
 // Size: 16 bytes for each record, at most maxSegmentRecords of them.
 
