Read the record of versions by a call of its own

The object of versions is one small read now, which lets endpoints be used; the segments are read beside it, and only resumptions of unknown attempts wait for them.

--- a/src/daemon/streamrecords.cpp
+++ b/src/daemon/streamrecords.cpp
@@ -70,8 +70,12 @@
 void StreamRecords::read()
 {
     m_readAgainAt = TimePoint::max();
-    m_reading = Reading();
+    m_reading.emplace();
     ++m_readNumber;
+    m_awaitsVersions = true;
+    if (!m_isReadingVersions) {
+        readVersions();
+    }
     readPage({});
 }
 
@@ -100,7 +104,6 @@
         m_readAgainAt = SteadyClock::now() + m_backoff.next(m_random);
         return;
     }
-    m_reading->revision = m_reading->revision == 0 ? page.value().revision : m_reading->revision;
     for (const MirroredObject &object : page.value().objects) {
         readObject(object);
     }
@@ -116,12 +119,9 @@
     // Where kinds are prefixes, names begin with them.
     const std::string_view whole = object.name;
     const std::string_view name = whole.starts_with(m_kind) ? whole.substr(m_kind.size()) : whole;
-    if (name == versionRecordName) {
-        m_reading->version = object.revision;
-        m_reading->versions = parseRecordedVersions(textOf(object.content)).value_or(RecordedVersions());
-    } else if (name.starts_with(segmentNamePrefix)) {
+    if (name.starts_with(segmentNamePrefix)) {
         const std::vector<SharedAttempt> records = parseAttempts(textOf(object.content)).value_or(std::vector<SharedAttempt>());
-        m_reading->attempts.insert(m_reading->attempts.end(), records.begin(), records.end());
+        m_reading->insert(m_reading->end(), records.begin(), records.end());
         const bool isKnown = std::ranges::any_of(m_leftovers, [&](const Leftover &each) { return each.segment.name == name; });
         if (!name.starts_with(m_name) && !isKnown) {
             m_leftovers.push_back({{std::string(name), object.revision}, SteadyClock::now()});
@@ -131,37 +131,45 @@
 
 void StreamRecords::endRead()
 {
-    const Reading reading = *std::exchange(m_reading, std::nullopt);
-    RecordedVersions versions = reading.versions;
-    versions.isComplete = versions.isComplete || (reading.version == 0 && m_isFirstStart);
+    const std::vector<SharedAttempt> attempts = *std::exchange(m_reading, std::nullopt);
     m_backoff.reset();
-    m_versions.setStored(versions, reading.version, versions.isComplete);
-    LogFields fields;
-    fields.number("attempts", static_cast<std::int64_t>(reading.attempts.size())).number("services", static_cast<std::int64_t>(versions.versions.size()));
-    fields.text("complete", versions.isComplete ? "yes" : "no");
-    m_ports.logEvent("stream-records-read", fields);
-    if (versions.isComplete) {
-        m_ports.onVersions(versions.versions, reading.revision);
-    }
-    m_ports.onAttempts(reading.attempts);
+    m_ports.logEvent("stream-records-read", LogFields().number("attempts", static_cast<std::int64_t>(attempts.size())));
+    m_ports.onAttempts(attempts);
 }
 
 void StreamRecords::readVersions()
 {
     m_isReadingVersions = true;
     m_metrics.add("rhubarbwind_stream_record_calls_total", {{"call", "get"}});
-    m_objects.get(std::string(versionRecordName), [self = shared_from_this()](const PlatformResult<StoredObject> &object) {
+    m_objects.get(std::string(versionRecordName), [self = shared_from_this(), number = m_readNumber](const PlatformResult<StoredObject> &object) {
         self->m_isReadingVersions = false;
-        if (object.has_value()) {
-            self->m_versions.setStored(parseRecordedVersions(object.value().value).value_or(RecordedVersions()), object.value().version, false);
-        } else if (object.error().kind == PlatformErrorKind::NotFound) {
-            self->m_versions.setStored({}, 0, false);
-        } else {
-            self->m_versions.readFailed(SteadyClock::now());
+        if (!self->m_isStopped) {
+            self->handleVersions(object, number == self->m_readNumber);
         }
     });
 }
 
+void StreamRecords::handleVersions(const PlatformResult<StoredObject> &object, bool isCurrent)
+{
+    if (object.has_error() && object.error().kind != PlatformErrorKind::NotFound) {
+        m_versions.readFailed(SteadyClock::now());
+        return;
+    }
+    const ObjectVersion version = object.has_value() ? object.value().version : 0;
+    RecordedVersions versions = object.has_value() ? parseRecordedVersions(object.value().value).value_or(RecordedVersions()) : RecordedVersions();
+    versions.isComplete = versions.isComplete || (version == 0 && m_isFirstStart);
+    const bool isAwaited = isCurrent && std::exchange(m_awaitsVersions, false);
+    m_versions.setStored(versions, version, isAwaited && versions.isComplete);
+    if (isAwaited) {
+        LogFields fields;
+        fields.number("services", static_cast<std::int64_t>(versions.versions.size())).text("complete", versions.isComplete ? "yes" : "no");
+        m_ports.logEvent("stream-versions-read", fields);
+        m_ports.onVersions(versions, version);
+    } else if (m_awaitsVersions) {
+        readVersions();
+    }
+}
+
 void StreamRecords::writeVersions(TimePoint now)
 {
     const std::vector<VersionRow> serving = m_ports.serving();
--- a/src/daemon/streamrecords.h
+++ b/src/daemon/streamrecords.h
@@ -4,7 +4,8 @@
 // while several served.
 //
 // Only wiring: VersionRecord and AttemptSegments decide what is written. After each complete listing of endpoints the records are read; until then this
-// host does not know which versions served before. Reads are repeated until one succeeds. Segments of hosts that are not alive any more are removed once
+// host does not know which versions served before. The versions are read by a call of their own, since endpoints wait for them (endpointgate.h). Reads are
+// repeated until one succeeds. Segments of hosts that are not alive any more are removed once
 // their streams can't be resumed, by the host that ranks first for each.
 //
 // Cost: one listing for each listing of endpoints; writes as versionrecord.h and attemptsegments.h state. Nothing is written while a service has one
@@ -38,8 +39,8 @@
     std::function<bool()> knowsPast; ///< this host knows what has served for as long as streams may be resumed
     std::function<std::size_t(std::uint64_t key)> rank; ///< of this host by rendezvous hashing of the key
     std::function<std::vector<PeerAddress>()> liveHosts; ///< without this one
-    std::function<void(const ServedVersions &versions, std::uint64_t revision)> onVersions; ///< a complete record was read
-    std::function<void(std::span<const SharedAttempt>)> onAttempts; ///< the records have been read
+    std::function<void(const RecordedVersions &, ObjectVersion)> onVersions; ///< the record was read after a listing of endpoints
+    std::function<void(std::span<const SharedAttempt>)> onAttempts; ///< all segments have been read
     std::function<void(std::span<const RecordedVersion>)> onRecorded; ///< this host has written versions
     std::function<void(std::string_view event, const LogFields &)> logEvent;
 };
@@ -95,18 +96,12 @@
     void readObject(const MirroredObject &object);
     void endRead();
     void readVersions();
+    /** @param isCurrent no listing of endpoints has followed the call */
+    void handleVersions(const PlatformResult<StoredObject> &object, bool isCurrent);
     void writeSegment(TimePoint now);
     void removeLeftovers(TimePoint now);
     bool ownsLeftover(std::string_view name) const;
 
-    /** A listing in progress. */
-    struct Reading
-    {
-        RecordedVersions versions;
-        ObjectVersion version = 0; ///< of the versions' object; zero: there is none
-        std::uint64_t revision = 0; ///< of the first page
-        std::vector<SharedAttempt> attempts;
-    };
     /** A segment of another start of a host. */
     struct Leftover
     {
@@ -126,12 +121,13 @@
     VersionRecord m_versions;
     AttemptSegments m_segments;
     Duration m_memory = 30s;
-    std::optional<Reading> m_reading;
+    std::optional<std::vector<SharedAttempt>> m_reading; ///< what a listing in progress has brought
     std::uint64_t m_readNumber = 0; ///< of the latest listing: answers of earlier ones are ignored
     TimePoint m_readAgainAt = TimePoint::max();
     Random m_random;
     Backoff m_backoff;
     bool m_isReadingVersions = false;
+    bool m_awaitsVersions = false; ///< endpoints have been listed since they were last read
     std::vector<Leftover> m_leftovers;
     bool m_isStopped = false;
 };
