Confirm by the platform, after a resumption has arrived, which versions serve

Seen by callers: an answer whose first part is of one software version and whose rest is of another, after a resumption at a host that was cut off, stood still or was late during a release.

Cause: AttemptDirectory::decide() took the absence of a record for evidence if all hosts asked had answered, or if the listing of one of them had been confirmed by the platform within 3 s. Neither says anything of streams younger than that knowledge: the resumption of a stream that had lived for 0.1 s was decided by a listing 2.2 s old.

Change: the host that asks reads the platform's record of versions by a call that begins after the resumption has arrived. A version is on that record before its first stream begins, so the answer has every version that may have begun this one. One version: it goes on there. Several: only if all hosts asked have answered and this one has lost no peer, which may have begun streams whose records are gone. No read within a second: refused with a time to retry. One read is in progress at a time and serves all lookups that came before it began; hosts that know several versions, and attempts that a host knows, need none.

Fixtures whose listings were current now have the platform's record to read; the sections about current listings became ones about a platform that answers or does not, with the same demands, and a kill is noticed by the others as it is in a fleet. New: a read that began before the resumption confirms nothing; a property over releases with hosts cut off, killed or behind; nine tenths go on at hosts in touch.

--- a/src/daemon/streamrecords.cpp
+++ b/src/daemon/streamrecords.cpp
@@ -149,6 +149,25 @@
     });
 }
 
+void StreamRecords::readVersionsNow(std::function<void(std::shared_ptr<const VersionReading>)> handler)
+{
+    m_metrics.add("rhubarbwind_stream_record_calls_total", {{"call", "confirm"}});
+    m_objects.get(std::string(versionRecordName), [self = shared_from_this(), handler = std::move(handler)](const PlatformResult<StoredObject> &object) {
+        if (self->m_isStopped) {
+            return;
+        }
+        const bool hasFailed = object.has_error() && object.error().kind != PlatformErrorKind::NotFound;
+        handler(hasFailed ? nullptr : std::make_shared<const VersionReading>(self->readingOf(object)));
+    });
+}
+
+VersionReading StreamRecords::readingOf(const PlatformResult<StoredObject> &object) const
+{
+    const ObjectVersion version = object.has_value() ? object.value().version : 0;
+    const RecordedVersions recorded = object.has_value() ? parseRecordedVersions(object.value().value).value_or(RecordedVersions()) : RecordedVersions();
+    return {recorded.versions, version, recorded.isComplete || (version == 0 && m_isFirstStart)};
+}
+
 void StreamRecords::handleVersions(const PlatformResult<StoredObject> &object, bool isCurrent)
 {
     if (object.has_error() && object.error().kind != PlatformErrorKind::NotFound) {
--- a/src/daemon/streamrecords.h
+++ b/src/daemon/streamrecords.h
@@ -14,6 +14,7 @@
 #include "base/backoff.h"
 #include "base/clock.h"
 #include "base/random.h"
+#include "gateway/attemptdirectory.h"
 #include "gateway/attemptsegments.h"
 #include "gateway/siteadapter.h"
 #include "gateway/versionrecord.h"
@@ -58,6 +59,8 @@
 
     /** Endpoints have been listed. */
     void read();
+    /** Reads the record of versions by a call that begins now. @param handler called with null if the call failed */
+    void readVersionsNow(std::function<void(std::shared_ptr<const VersionReading>)> handler);
     void setMemory(Duration memory)
     {
         m_memory = memory;
@@ -96,6 +99,7 @@
     void readObject(const MirroredObject &object);
     void endRead();
     void readVersions();
+    VersionReading readingOf(const PlatformResult<StoredObject> &object) const;
     /** @param isCurrent no listing of endpoints has followed the call */
     void handleVersions(const PlatformResult<StoredObject> &object, bool isCurrent);
     void writeSegment(TimePoint now);
--- a/src/gateway/streamrecords_test.cpp
+++ b/src/gateway/streamrecords_test.cpp
@@ -95,6 +95,66 @@
             apply(at, {endpoint, false});
         }
     }
+    /** Ends a host, which others may notice later. */
+    void kill(std::size_t at)
+    {
+        m_hosts.at(at).reset();
+        m_links.at(at).isSilent = true;
+    }
+    /** What is between a host and everything else. */
+    struct Link
+    {
+        bool losesPeers = false;
+        bool losesPlatform = false;
+        bool isBehind = false; ///< entries do not reach the host
+        bool isSilent = false; ///< others have not heard of it since, or it of them, and have not noticed yet
+        std::vector<RegistryChange> missed = {};
+    };
+    void cut(std::size_t at, bool fromPeers, bool fromPlatform, bool isBehind)
+    {
+        Link &link = m_links.at(at);
+        link.losesPeers = link.losesPeers || fromPeers;
+        link.losesPlatform = link.losesPlatform || fromPlatform;
+        link.isBehind = link.isBehind || isBehind;
+        link.isSilent = link.isSilent || fromPeers;
+    }
+    void reconnect(std::size_t at)
+    {
+        Link &link = m_links.at(at);
+        // A cut that has lasted for long enough is noticed even if it has ended.
+        noticeSilence();
+        link.losesPeers = false;
+        link.losesPlatform = false;
+        link.isBehind = false;
+        for (const RegistryChange &change : std::exchange(link.missed, {})) {
+            if (m_hosts.at(at)) {
+                apply(at, change);
+            }
+        }
+    }
+    /** Hosts report the peers silent that they can't hear. */
+    void noticeSilence()
+    {
+        for (std::size_t at = 0; at < hostCount; ++at) {
+            if (!std::exchange(m_links.at(at).isSilent, false)) {
+                continue;
+            }
+            for (std::size_t other = 0; other < hostCount; ++other) {
+                if (m_hosts.at(other)) {
+                    m_hosts.at(other)->versions.hostLost();
+                }
+            }
+        }
+    }
+    bool isAlive(std::size_t at) const
+    {
+        return m_hosts.at(at) != nullptr;
+    }
+    bool isInTouch(std::size_t at) const
+    {
+        const Link &link = m_links.at(at);
+        return isAlive(at) && !link.losesPeers && !link.losesPlatform && !link.isBehind;
+    }
     /** Ends all hosts at once. */
     void killAll()
     {
@@ -104,6 +164,7 @@
     }
     void startAll(bool isFirstStart)
     {
+        m_links = {};
         for (std::size_t at = 0; at < hostCount; ++at) {
             m_hosts.at(at) = std::make_unique<Host>(std::to_string(at) + "-" + std::to_string(++m_starts));
             setPorts(at);
@@ -117,21 +178,13 @@
     void list(const SelectorEndpoint &endpoint)
     {
         listed[endpoint.id] = endpoint;
-        for (std::size_t at = 0; at < hostCount; ++at) {
-            if (m_hosts.at(at)) {
-                apply(at, {endpoint, false});
-            }
-        }
+        deliver({endpoint, false});
     }
     void remove(const EndpointId &id)
     {
         const SelectorEndpoint endpoint = listed.at(id);
         listed.erase(id);
-        for (std::size_t at = 0; at < hostCount; ++at) {
-            if (m_hosts.at(at)) {
-                apply(at, {endpoint, true});
-            }
-        }
+        deliver({endpoint, true});
     }
     /** @return the version at which the stream began; none if the host has no endpoint */
     std::optional<std::uint64_t> begin(std::size_t at, std::uint64_t attempt, std::size_t choice)
@@ -152,6 +205,7 @@
         Host &host = *m_hosts.at(at);
         host.attempts.find(attempt, service, now, [&result](const Resumption &found) { result = found; });
         host.attempts.tick(now + AttemptDirectory::lookupLimit);
+        host.attempts.tick(now + AttemptDirectory::readLimit);
         return result;
     }
     void pass(Duration time)
@@ -183,13 +237,30 @@
     {
         return {"10.0.0." + std::to_string(at + 1), 1};
     }
+    void deliver(const RegistryChange &change)
+    {
+        for (std::size_t at = 0; at < hostCount; ++at) {
+            Link &link = m_links.at(at);
+            if (link.isBehind || (link.losesPeers && link.losesPlatform)) {
+                link.missed.push_back(change);
+            } else if (m_hosts.at(at)) {
+                apply(at, change);
+            }
+        }
+    }
+    /** Whether datagrams arrive. */
+    bool connects(std::size_t at, std::size_t other) const
+    {
+        return m_hosts.at(other) && !m_links.at(at).losesPeers && !m_links.at(other).losesPeers;
+    }
     void setPorts(std::size_t at)
     {
         AttemptPorts ports;
         ports.hostsToAsk = [this, at](std::uint64_t) {
             std::vector<PeerAddress> others;
             for (std::size_t other = 0; other < hostCount; ++other) {
-                if (other != at && m_hosts.at(other)) {
+                // A peer that has been silent for long enough counts as ended.
+                if (other != at && (connects(at, other) || m_links.at(other).isSilent || m_links.at(at).isSilent)) {
                     others.push_back(addressOf(other));
                 }
             }
@@ -200,12 +271,21 @@
         ports.write = [this, at](const SharedAttempt &record) { m_hosts.at(at)->segments.put(record, now); };
         ports.send = [this, at](const AttemptUpdate &update, std::span<const PeerAddress> targets) {
             for (std::size_t other = 0; other < hostCount; ++other) {
-                if (m_hosts.at(other) && std::ranges::find(targets, addressOf(other)) != targets.end()) {
+                if (connects(at, other) && std::ranges::find(targets, addressOf(other)) != targets.end()) {
                     m_hosts.at(other)->attempts.receive(update, addressOf(at), now);
                 }
             }
         };
-        ports.isListingCurrent = [] { return true; };
+        ports.readVersions = [this, at] {
+            if (m_links.at(at).losesPlatform) {
+                m_hosts.at(at)->attempts.versionsRead(nullptr, now);
+                return;
+            }
+            const auto stored = m_store.objects.find(std::string(versionRecordName));
+            const RecordedVersions read = stored == m_store.objects.end() ? RecordedVersions() : parseRecordedVersions(stored->second.second).value();
+            const VersionReading reading{read.versions, stored == m_store.objects.end() ? 0 : stored->second.first, read.isComplete};
+            m_hosts.at(at)->attempts.versionsRead(std::make_shared<const VersionReading>(reading), now);
+        };
         m_hosts.at(at)->attempts.setPorts(std::move(ports));
     }
     void readStore(Host &host, bool isFirstStart)
@@ -262,6 +342,10 @@
     void tick(std::size_t at)
     {
         Host &host = *m_hosts.at(at);
+        if (m_links.at(at).losesPlatform) {
+            setEndpoints(host, host.gate.release(isRecordedAt(host), now));
+            return;
+        }
         if (host.record.needsRead(now)) {
             const auto stored = m_store.objects.find(std::string(versionRecordName));
             host.record.setStored(parseRecordedVersions(stored->second.second).value(), stored->second.first, false);
@@ -273,9 +357,9 @@
                 host.record.writeFailed(write->number, now);
             } else {
                 const std::vector<RecordedVersion> added = host.record.written(write->number, written);
-                for (const std::unique_ptr<Host> &other : m_hosts) {
-                    if (other && other.get() != &host) {
-                        other->record.noteRecorded(added);
+                for (std::size_t other = 0; other < hostCount; ++other) {
+                    if (other != at && connects(at, other)) {
+                        m_hosts.at(other)->record.noteRecorded(added);
                     }
                 }
             }
@@ -291,6 +375,7 @@
 
     Store m_store;
     std::array<std::unique_ptr<Host>, hostCount> m_hosts;
+    std::array<Link, hostCount> m_links;
     int m_starts = 0;
 };
 
@@ -382,6 +467,97 @@
     });
 }
 
+TEST_CASE("over releases with hosts that are cut off, end or are behind no stream is resumed at another version", "[whole-answer]")
+{
+    // Guards against a decision by a host whose knowledge is older than the stream.
+    rc::prop("with callers that resume at any host", [] {
+        Fleet fleet;
+        std::map<std::uint64_t, std::uint64_t> began;
+        int nextEndpoint = 1;
+        int version = 1;
+        fleet.list(endpointOf(nextEndpoint++, version));
+        fleet.pass(1s);
+        const int steps = *rc::gen::inRange(10, 120);
+        for (int step = 0; step < steps; ++step) {
+            const int action = *rc::gen::inRange(0, 20);
+            const std::size_t at = *rc::gen::inRange<std::size_t>(0, Fleet::hostCount);
+            if (action < 2) {
+                version += action;
+                fleet.list(endpointOf(nextEndpoint++, version));
+            } else if (action == 2 && !fleet.listed.empty()) {
+                fleet.remove(fleet.listed.begin()->first);
+            } else if (action == 3) {
+                fleet.cut(at, *rc::gen::arbitrary<bool>(), *rc::gen::arbitrary<bool>(), *rc::gen::arbitrary<bool>());
+            } else if (action == 4) {
+                fleet.reconnect(at);
+            } else if (action == 5) {
+                fleet.noticeSilence();
+            } else if (action == 6 && *rc::gen::inRange(0, 4) == 0) {
+                fleet.kill(at);
+            } else if (action < 9) {
+                fleet.pass(std::chrono::milliseconds(*rc::gen::inRange(0, 4) * 300));
+            } else if (action < 14 && fleet.isAlive(at)) {
+                const std::uint64_t attempt = began.size() + 1;
+                if (const std::optional<std::uint64_t> begunAt = fleet.begin(at, attempt, static_cast<std::size_t>(step))) {
+                    began[attempt] = *begunAt;
+                }
+            } else if (fleet.isAlive(at) && !began.empty()) {
+                const std::uint64_t attempt = began.rbegin()->first - *rc::gen::inRange<std::uint64_t>(0, std::min<std::uint64_t>(10, began.size()));
+                const Resumption found = fleet.resume(at, attempt);
+                RC_ASSERT(found.state != ResumptionState::Known || found.version == began.at(attempt));
+            }
+        }
+    });
+}
+
+TEST_CASE("during a release with one host cut off nine tenths of the streams are resumed at hosts in touch", "[whole-answer]")
+{
+    // Guards against refusing what hosts in touch can tell.
+    Fleet fleet;
+    fleet.list(endpointOf(1, 1));
+    fleet.list(endpointOf(2, 1));
+    fleet.pass(1s);
+    const std::size_t lost = GENERATE(0U, 3U);
+    const bool isKilled = GENERATE(false, true);
+    const bool isNoticed = GENERATE(false, true);
+    std::map<std::uint64_t, std::uint64_t> began;
+    const auto beginSome = [&](int count) {
+        for (int i = 0; i < count; ++i) {
+            const std::uint64_t attempt = began.size() + 1;
+            const std::size_t at = attempt % Fleet::hostCount;
+            if (fleet.isInTouch(at)) {
+                began[attempt] = fleet.begin(at, attempt, attempt).value();
+            } else {
+                began[attempt] = fleet.begin((at + 1) % Fleet::hostCount, attempt, attempt).value();
+            }
+            fleet.pass(i % 5 == 0 ? 100ms : 0ms);
+        }
+    };
+    beginSome(50);
+    isKilled ? fleet.kill(lost) : fleet.cut(lost, true, true, false);
+    fleet.list(endpointOf(3, 2));
+    fleet.list(endpointOf(4, 2));
+    beginSome(200);
+    if (isNoticed) {
+        fleet.noticeSilence();
+    }
+    int resumed = 0;
+    int found = 0;
+    for (const auto &[attempt, version] : began) {
+        const std::size_t at = (attempt + 1) % Fleet::hostCount;
+        if (!fleet.isInTouch(at)) {
+            continue;
+        }
+        const Resumption resumption = fleet.resume(at, attempt);
+        ++resumed;
+        if (resumption.state == ResumptionState::Known) {
+            CHECK(resumption.version == version);
+            ++found;
+        }
+    }
+    CHECK(found * 10 >= resumed * 9);
+}
+
 TEST_CASE("endpoints of a version wait until it is on record, for a second at most")
 {
     // Failure: a stream is begun by a version that no record names, and all hosts are killed.
