--- a/src/daemon/streamrecords.cpp
+++ b/src/daemon/streamrecords.cpp
@@ -149,7 +149,7 @@
     });
 }
 
-void StreamRecords::readVersionsNow(std::function<void(std::shared_ptr<const VersionReading>)> handler)
+void StreamRecords::readVersionsNow(std::function<void(const std::shared_ptr<const VersionReading> &)> handler)
 {
     m_metrics.add("rhubarbwind_stream_record_calls_total", {{"call", "confirm"}});
     m_objects.get(std::string(versionRecordName), [self = shared_from_this(), handler = std::move(handler)](const PlatformResult<StoredObject> &object) {
--- a/src/daemon/streamrecords.h
+++ b/src/daemon/streamrecords.h
@@ -60,7 +60,7 @@
     /** Endpoints have been listed. */
     void read();
     /** Reads the record of versions by a call that begins now. @param handler called with null if the call failed */
-    void readVersionsNow(std::function<void(std::shared_ptr<const VersionReading>)> handler);
+    void readVersionsNow(std::function<void(const std::shared_ptr<const VersionReading> &)> handler);
     void setMemory(Duration memory)
     {
         m_memory = memory;
--- a/src/gateway/streamrecords_test.cpp
+++ b/src/gateway/streamrecords_test.cpp
@@ -276,15 +276,15 @@
                 }
             }
         };
-        ports.readVersions = [this, at] {
+        ports.readVersions = [this, at](std::uint64_t number) {
             if (m_links.at(at).losesPlatform) {
-                m_hosts.at(at)->attempts.versionsRead(nullptr, now);
+                m_hosts.at(at)->attempts.versionsRead(number, nullptr, now);
                 return;
             }
             const auto stored = m_store.objects.find(std::string(versionRecordName));
             const RecordedVersions read = stored == m_store.objects.end() ? RecordedVersions() : parseRecordedVersions(stored->second.second).value();
             const VersionReading reading{read.versions, stored == m_store.objects.end() ? 0 : stored->second.first, read.isComplete};
-            m_hosts.at(at)->attempts.versionsRead(std::make_shared<const VersionReading>(reading), now);
+            m_hosts.at(at)->attempts.versionsRead(number, std::make_shared<const VersionReading>(reading), now);
         };
         m_hosts.at(at)->attempts.setPorts(std::move(ports));
     }
