Judge requests late in a planned stop more closely

Found by a reviewer, by reading:

- One slow answer of the latest 128 had requests refused that may be repeated; 95 of 100 decide for these now.

--- a/src/gateway/plannedstop_test.cpp
+++ b/src/gateway/plannedstop_test.cpp
@@ -94,6 +94,27 @@
     CHECK(scene.gateway.stopCounts().cut == 1);
 }
 
+TEST_CASE("a request that arrives after the deadline of a planned stop and waits is answered before the process ends", "[graceful-shutdown]")
+{
+    // Guards against requests that end with the process because the deadline was looked at once.
+    Scene scene;
+    AttemptPorts ports;
+    ports.hostsToAsk = [](std::uint64_t) { return std::vector<PeerAddress>{{"10.0.0.2", 1}}; };
+    ports.holders = ports.hostsToAsk;
+    ports.send = [](const AttemptUpdate &, std::span<const PeerAddress>) {};
+    scene.gateway.shareAttempts(std::move(ports));
+    const std::shared_ptr<Peer> caller = scene.caller();
+    scene.pass(5ms);
+    scene.gateway.stop(SteadyClock::now());
+    scene.gateway.endRequests();
+    caller->send(Scene::request("POST", "/resumable/", "r1", "Last-Event-ID: 2\r\nX-Resumes-Request: r0\r\n", "x"));
+    REQUIRE(scene.until([&] { return scene.gateway.running() == 1; }, 100ms));
+    scene.gateway.endRequests();
+    REQUIRE(scene.until([&] { return caller->closed; }, 100ms));
+    CHECK(caller->received.starts_with("HTTP/1.1 503"));
+    CHECK(scene.gateway.stopCounts().unanswered == 1);
+}
+
 TEST_CASE("what may outlive a planned stop is judged by time limits and the longest of the latest answers")
 {
     const TimePoint now(1h);
@@ -111,6 +132,14 @@
     CHECK(stop.mayOutlive("a", false, now + 1h, now));
     CHECK_FALSE(stop.mayOutlive("a", false, deadline, now));
     CHECK(stop.mayOutlive("a", true, now + 1h, now + 1500ms));
+    // One slow answer of many counts for requests that must not be repeated.
+    StopDeadline spread;
+    spread.begin(deadline);
+    for (std::size_t i = 0; i < StopDeadline::keptAnswers; ++i) {
+        spread.answered("a", i == 0 ? 3500ms : 100ms);
+    }
+    CHECK_FALSE(spread.mayOutlive("a", true, now + 1h, now + 1s));
+    CHECK(spread.mayOutlive("a", false, now + 1h, now));
     CHECK(stop.mayOutlive("unknown", true, now + 1h, now));
     CHECK_FALSE(stop.mayOutlive("unknown", true, deadline, now));
     for (std::size_t i = 0; i < StopDeadline::keptAnswers; ++i) {
--- a/src/gateway/stopdeadline.h
+++ b/src/gateway/stopdeadline.h
@@ -4,7 +4,7 @@
 //
 // The platform kills a host at the end of its grace period. A request that is passed on then is cut off: its caller does not learn whether it ran. So a
 // request is refused, while that is still truthful, unless its time limit or the durations of its route's latest answers show that it ends before the
-// deadline. Requests that must not be repeated get a margin.
+// deadline. For a request that may be repeated 95 of 100 answers have to be that short; for any other the longest one, with a margin.
 //
 // Memory: keptAnswers durations for each of at most maxRoutes routes; without durations a request counts as one that takes its whole time limit.
 
@@ -65,8 +65,12 @@
         if (!m_deadline || limit <= *m_deadline) {
             return false;
         }
-        const std::optional<Duration> longest = longestOf(route);
-        return !longest || now + (mayRepeat ? *longest : *longest * 3 / 2) > *m_deadline;
+        const auto found = m_routes.find(route);
+        if (found == m_routes.end() || found->second.count < minAnswers) {
+            return true;
+        }
+        const Duration expected = mayRepeat ? quantileOf(found->second, repeatableShare) : quantileOf(found->second, 1) * 3 / 2;
+        return now + expected > *m_deadline;
     }
 
     StopCounts counts;
@@ -78,13 +82,16 @@
         std::size_t count = 0;
     };
 
-    std::optional<Duration> longestOf(std::string_view route) const
+    static constexpr double repeatableShare = 0.95;
+
+    static Duration quantileOf(const Answers &answers, double share)
     {
-        const auto found = m_routes.find(route);
-        if (found == m_routes.end() || found->second.count < minAnswers) {
-            return std::nullopt;
-        }
-        return *std::ranges::max_element(found->second.durations);
+        std::array<Duration, keptAnswers> durations = answers.durations;
+        const std::size_t kept = std::min(answers.count, keptAnswers);
+        const std::size_t rank = std::min(kept - 1, static_cast<std::size_t>(share * static_cast<double>(kept)));
+        const auto at = durations.begin() + static_cast<std::ptrdiff_t>(rank);
+        std::nth_element(durations.begin(), at, durations.begin() + static_cast<std::ptrdiff_t>(kept));
+        return *at;
     }
 
     std::optional<TimePoint> m_deadline;
