Order no fewer engines than serve while others leave

Cause: an order was bounded by the domain's maximum less the engines that leave. Change: leaving engines bound only what is ordered beyond the ready ones.

--- a/src/duties/engineorders.cpp
+++ b/src/duties/engineorders.cpp
@@ -100,7 +100,9 @@
     // Booting engines are not listed yet, so the accepted order counts.
     const std::uint32_t lasting = std::max(count.lasting, others.accepted.value_or(0)) + count.leaving;
     const std::uint32_t capacity = service->maxPerDomain - std::min(service->maxPerDomain, lasting);
-    const EngineOrder reclaimableOrder{goal.service, count.domain, true, std::min(goal.eachDomain, capacity)};
+    // Failure: during a release those that leave use up the maximum. An order for what remains would remove engines that serve, which then leave as well.
+    const std::uint32_t wanted = std::min(goal.eachDomain, std::max(capacity, count.reclaimable));
+    const EngineOrder reclaimableOrder{goal.service, count.domain, true, wanted};
     const bool hasReclaimable = reclaimableOrder.count > 0 && count.reclaimable >= static_cast<std::uint32_t>(reclaimableOrder.count * m_options.readyShare);
     if (reclaimableOrder.count > 0) {
         if (std::optional<EngineOrder> order = due(reclaimableOrder, count.reclaimable, service->boot, now)) {
--- a/src/duties/engineorders_test.cpp
+++ b/src/duties/engineorders_test.cpp
@@ -79,6 +79,15 @@
         unavailableUntil[domain] = now + unavailableFor;
     }
 
+    /** Other engines take the place of some; these leave. */
+    void replace(std::uint32_t countPerDomain, TimePoint now)
+    {
+        for (auto &[domain, kinds] : pools) {
+            Pool &pool = kinds[true];
+            pool.leaving.insert(pool.leaving.end(), std::min(countPerDomain, pool.ready), now + drainTime);
+        }
+    }
+
     void advance(TimePoint now)
     {
         for (auto &[domain, kinds] : pools) {
@@ -254,6 +263,24 @@
     CHECK(orders.goals().front().need == need);
 }
 
+TEST_CASE("while engines are replaced, those that leave don't make the service lose others", "[engines]")
+{
+    // Failure: a release replaces engines, and for some seconds those that leave occupy the domains' maximum. An order for what the rest of the maximum allows
+    // removes engines that serve; these leave too, and the next order is for fewer still.
+    Platform platform;
+    Loop loop(platform);
+    loop.until(TimePoint(1h) + 60s);
+    REQUIRE(platform.ready(true) == 3 * goalPerDomain);
+    loop.minReady = 1000;
+    const std::uint32_t replacedAtOnce = GENERATE(5U, 20U, 60U);
+    platform.replace(replacedAtOnce, loop.now);
+    loop.until(TimePoint(1h) + 62s);
+    platform.replace(replacedAtOnce, loop.now);
+    loop.until(TimePoint(1h) + 80s);
+    CHECK(loop.minReady == 3 * goalPerDomain);
+    CHECK(platform.refused == 0);
+}
+
 TEST_CASE("the goal allows for the loss of one domain, and grows where engines are cheap", "[engines]")
 {
     struct Row
