Keep a version on record whose endpoints are held back

Cause: a host that lists endpoints of a new version wants it on record, and holds the endpoints back until it is. If another host's write came first, its own fails and it reads the record, and no longer wants the version; the endpoints are released by a later tick. Between the two VersionRecord::compare() found a version that it had seen, that was not wanted and not in use here, and took it for one that had ceased. Without peers that host has rank 0, so it wrote the record without the version while others began streams at it.

Change: what a host calls serving includes the versions whose endpoints it holds back.

--- a/src/gateway/endpointgate.cpp
+++ b/src/gateway/endpointgate.cpp
@@ -60,4 +60,16 @@
     return released;
 }
 
+std::vector<VersionRow> EndpointGate::withHeld(std::vector<VersionRow> serving) const
+{
+    std::map<std::pair<ShardId, SoftwareVersion>, std::uint32_t> counts;
+    for (const auto &[id, endpoint] : m_held) {
+        ++counts[{endpoint.service, endpoint.softwareVersion}];
+    }
+    for (const auto &[version, count] : counts) {
+        serving.push_back({version.first, version.second, count});
+    }
+    return serving;
+}
+
 } // namespace Rhubarbwind
--- a/src/gateway/endpointgate.h
+++ b/src/gateway/endpointgate.h
@@ -6,6 +6,7 @@
 // comes first where the platform does not answer: after maxHold the endpoints are used.
 
 #include "gateway/endpointregistry.h"
+#include "gateway/versiontracker.h"
 
 #include <functional>
 #include <map>
@@ -29,6 +30,8 @@
     {
         return !m_held.empty();
     }
+    /** Adds the versions whose endpoints are held back: other hosts may use them already. */
+    std::vector<VersionRow> withHeld(std::vector<VersionRow> serving) const;
 
 private:
     bool mayPass(const SelectorEndpoint &endpoint, const IsRecorded &isRecorded, TimePoint now);
--- a/src/gateway/streamrecords_test.cpp
+++ b/src/gateway/streamrecords_test.cpp
@@ -350,7 +350,7 @@
             const auto stored = m_store.objects.find(std::string(versionRecordName));
             host.record.setStored(parseRecordedVersions(stored->second.second).value(), stored->second.first, false);
         }
-        const std::vector<VersionRow> serving = host.versions.rows(now);
+        const std::vector<VersionRow> serving = host.gate.withHeld(host.versions.rows(now));
         if (const std::optional<ObjectWrite> write = host.record.toWrite({at, serving, host.versions.knowsPast(now)}, now)) {
             const ObjectVersion written = m_store.write(*write);
             if (written == 0) {
@@ -675,6 +675,27 @@
     }
 }
 
+TEST_CASE("a version whose endpoints are held back stays on record", "[whole-answer]")
+{
+    // Failure: a host whose own write came too late took the version off the record that another host had written, as none of its endpoints was in use here.
+    EndpointGate gate;
+    VersionRecord record;
+    record.setStored({{{service, {versionOf(1)}}}, true}, 1, true);
+    const EndpointGate::IsRecorded ask = [&record](const ShardId &id, const SoftwareVersion &version) { return record.isRecorded(id, version); };
+    const std::vector<VersionRow> inUse{{service, versionOf(1), 1}};
+    record.want(service, versionOf(2), start);
+    const std::vector<RegistryChange> joins{{endpointOf(2, 2), false}};
+    CHECK(gate.pass(joins, ask, start).empty());
+    const std::optional<ObjectWrite> late = record.toWrite({1, gate.withHeld(inUse), true}, start + 200ms);
+    REQUIRE(late.has_value());
+    record.writeFailed(late->number, start + 200ms);
+    record.setStored({{{service, {versionOf(1), versionOf(2)}}}, true}, 2, false);
+    // Its peers count as dead now, so it is the one that writes.
+    CHECK_FALSE(record.toWrite({0, gate.withHeld(inUse), true}, start + 400ms).has_value());
+    CHECK(record.isRecorded(service, versionOf(2)));
+    CHECK(gate.release(ask, start + 400ms).size() == 1);
+}
+
 TEST_CASE("a record that does not go back to the first start becomes complete when a host has watched for long enough")
 {
     VersionRecord record;
