Resume in properties only streams that may still be resumed

Traced: a stream of v1 is begun, v1 leaves, both are 31 s old when the stream is resumed, and records are kept for 30 s, twice the longest stream.

--- a/src/gateway/streamrecords_test.cpp
+++ b/src/gateway/streamrecords_test.cpp
@@ -431,6 +431,7 @@
     rc::prop("with every message and call answered", [] {
         Fleet fleet;
         std::map<std::uint64_t, std::uint64_t> began;
+        std::map<std::uint64_t, TimePoint> begunAt;
         int nextEndpoint = 1;
         int version = 1;
         fleet.list(endpointOf(nextEndpoint++, version));
@@ -457,11 +458,13 @@
                 const std::uint64_t attempt = began.size() + 1;
                 if (const std::optional<std::uint64_t> at1 = fleet.begin(at, attempt, static_cast<std::size_t>(step))) {
                     began[attempt] = *at1;
+                    begunAt[attempt] = fleet.now;
                 }
             } else if (!isDown && !began.empty()) {
                 const std::uint64_t attempt = began.rbegin()->first - *rc::gen::inRange<std::uint64_t>(0, std::min<std::uint64_t>(10, began.size()));
                 const Resumption found = fleet.resume(at, attempt);
-                RC_ASSERT(found.state != ResumptionState::Known || found.version == began.at(attempt));
+                const bool mayBeResumed = fleet.now - begunAt.at(attempt) < VersionTracker().memory();
+                RC_ASSERT(!mayBeResumed || found.state != ResumptionState::Known || found.version == began.at(attempt));
             }
         }
     });
@@ -473,6 +476,7 @@
     rc::prop("with callers that resume at any host", [] {
         Fleet fleet;
         std::map<std::uint64_t, std::uint64_t> began;
+        std::map<std::uint64_t, TimePoint> begunAt;
         int nextEndpoint = 1;
         int version = 1;
         fleet.list(endpointOf(nextEndpoint++, version));
@@ -498,13 +502,15 @@
                 fleet.pass(std::chrono::milliseconds(*rc::gen::inRange(0, 4) * 300));
             } else if (action < 14 && fleet.isAlive(at)) {
                 const std::uint64_t attempt = began.size() + 1;
-                if (const std::optional<std::uint64_t> begunAt = fleet.begin(at, attempt, static_cast<std::size_t>(step))) {
-                    began[attempt] = *begunAt;
+                if (const std::optional<std::uint64_t> at1 = fleet.begin(at, attempt, static_cast<std::size_t>(step))) {
+                    began[attempt] = *at1;
+                    begunAt[attempt] = fleet.now;
                 }
             } else if (fleet.isAlive(at) && !began.empty()) {
                 const std::uint64_t attempt = began.rbegin()->first - *rc::gen::inRange<std::uint64_t>(0, std::min<std::uint64_t>(10, began.size()));
                 const Resumption found = fleet.resume(at, attempt);
-                RC_ASSERT(found.state != ResumptionState::Known || found.version == began.at(attempt));
+                const bool mayBeResumed = fleet.now - begunAt.at(attempt) < VersionTracker().memory();
+                RC_ASSERT(!mayBeResumed || found.state != ResumptionState::Known || found.version == began.at(attempt));
             }
         }
     });
