Read the record of versions in one place

The confirmation of resumptions had parsed the object and decided whether the record is complete by a copy of handleVersions().

--- a/src/daemon/streamrecords.cpp
+++ b/src/daemon/streamrecords.cpp
@@ -21,6 +21,17 @@
 constexpr std::size_t removalsPerTick = 2;
 constexpr std::string_view rankKey = "versions-writer";
 
+/** The store's answer tells nothing about the object. */
+bool isUnanswered(const PlatformResult<StoredObject> &object)
+{
+    return object.has_error() && object.error().kind != PlatformErrorKind::NotFound;
+}
+
+ObjectVersion versionOf(const PlatformResult<StoredObject> &object)
+{
+    return object.has_value() ? object.value().version : 0;
+}
+
 std::uint64_t keyOf(std::string_view text)
 {
     return XXH3_64bits(text.data(), text.size());
@@ -156,27 +167,30 @@
         if (self->m_isStopped) {
             return;
         }
-        const bool hasFailed = object.has_error() && object.error().kind != PlatformErrorKind::NotFound;
-        handler(hasFailed ? nullptr : std::make_shared<const VersionReading>(self->readingOf(object)));
+        if (isUnanswered(object)) {
+            handler(nullptr);
+            return;
+        }
+        const RecordedVersions recorded = self->recordedIn(object);
+        handler(std::make_shared<const VersionReading>(VersionReading{recorded.versions, versionOf(object), recorded.isComplete}));
     });
 }
 
-VersionReading StreamRecords::readingOf(const PlatformResult<StoredObject> &object) const
+RecordedVersions StreamRecords::recordedIn(const PlatformResult<StoredObject> &object) const
 {
-    const ObjectVersion version = object.has_value() ? object.value().version : 0;
-    const RecordedVersions recorded = object.has_value() ? parseRecordedVersions(object.value().value).value_or(RecordedVersions()) : RecordedVersions();
-    return {recorded.versions, version, recorded.isComplete || (version == 0 && m_isFirstStart)};
+    RecordedVersions recorded = object.has_value() ? parseRecordedVersions(object.value().value).value_or(RecordedVersions()) : RecordedVersions();
+    recorded.isComplete = recorded.isComplete || (versionOf(object) == 0 && m_isFirstStart);
+    return recorded;
 }
 
 void StreamRecords::handleVersions(const PlatformResult<StoredObject> &object, bool isCurrent)
 {
-    if (object.has_error() && object.error().kind != PlatformErrorKind::NotFound) {
+    if (isUnanswered(object)) {
         m_versions.readFailed(SteadyClock::now());
         return;
     }
-    const ObjectVersion version = object.has_value() ? object.value().version : 0;
-    RecordedVersions versions = object.has_value() ? parseRecordedVersions(object.value().value).value_or(RecordedVersions()) : RecordedVersions();
-    versions.isComplete = versions.isComplete || (version == 0 && m_isFirstStart);
+    const ObjectVersion version = versionOf(object);
+    const RecordedVersions versions = recordedIn(object);
     const bool isAwaited = isCurrent && std::exchange(m_awaitsVersions, false);
     m_versions.setStored(versions, version, isAwaited && versions.isComplete);
     if (isAwaited) {
--- a/src/daemon/streamrecords.h
+++ b/src/daemon/streamrecords.h
@@ -99,7 +99,8 @@
     void readObject(const MirroredObject &object);
     void endRead();
     void readVersions();
-    VersionReading readingOf(const PlatformResult<StoredObject> &object) const;
+    /** @param object as the store answered; an error that is not NotFound has been handled before */
+    RecordedVersions recordedIn(const PlatformResult<StoredObject> &object) const;
     /** @param isCurrent no listing of endpoints has followed the call */
     void handleVersions(const PlatformResult<StoredObject> &object, bool isCurrent);
     void writeSegment(TimePoint now);
