Take no answer for whole whose connection was reset during the upload

Cause: the kernel reports a reset once, to the first call. While a request is being written, that is the write, whose result is ignored, since an answer may arrive before the request has been written. The read after it finds an end of file, as after a close in order, and an answer without a length is complete at its connection's end.

Change: at an end of file the connection's state in the kernel decides. A connection that is closed on both sides although this host has not closed its own was reset. All readers of answers ask: the connection to endpoints and peers, and readHttp(), which the native way and the calls of the platform use. An endpoint that closes in order and then gets more of the upload resets the connection as well; its answer counts as broken off, since nothing tells that it was whole.

--- a/src/base/httpinput.h
+++ b/src/base/httpinput.h
@@ -8,6 +8,8 @@
 //   - An end of the connection before the first byte of a message, reported to the parser.
 //   - A trailer with a field of 64 KB or more. Trailers are not bounded by the parser's header_limit().
 
+#include "base/socketprobes.h"
+
 #include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -108,6 +110,17 @@
     return isReached(parser, goal) || (goal == HttpReadGoal::Some && hasProgress);
 }
 
+/** The descriptor of an Asio socket or of a Beast stream over one. */
+template <class Stream>
+int socketOf(Stream &stream)
+{
+    if constexpr (requires { stream.native_handle(); }) {
+        return stream.native_handle();
+    } else {
+        return stream.socket().native_handle();
+    }
+}
+
 template <class Stream, bool isRequest, class Handler>
 void readMore(Stream &stream, boost::beast::flat_buffer &buffer, boost::beast::http::basic_parser<isRequest> &parser, HttpReadGoal goal, Handler handler)
 {
@@ -121,6 +134,12 @@
     stream.async_read_some(buffer.prepare(size),
                            [&stream, &buffer, &parser, goal, handler = std::move(handler)](boost::system::error_code error, std::size_t received) mutable {
                                buffer.commit(received);
+                               if constexpr (!isRequest) {
+                                   // Only an answer may end with its connection.
+                                   if (error == boost::asio::error::eof && isReset(socketOf(stream))) {
+                                       error = boost::asio::error::connection_reset;
+                                   }
+                               }
                                if (error == boost::asio::error::eof) {
                                    endInput(parser, error);
                                } else if (!error && !advance(parser, buffer, goal, error)) {
--- a/src/gateway/messagesegments_test.cpp
+++ b/src/gateway/messagesegments_test.cpp
@@ -41,10 +41,12 @@
 /** An endpoint's end of a connection that has received a request, and the reply as the host reports it. */
 struct EndpointExchange
 {
-    explicit EndpointExchange(bool hasNoBody = false)
+    /** @param requestBodyBytes as much of it is sent as the sockets' buffers take */
+    explicit EndpointExchange(bool hasNoBody = false, std::size_t requestBodyBytes = 0)
         : acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
         , endpoint(io)
         , connection(std::make_shared<EndpointConnection>(io))
+        , requestBody(requestBodyBytes, 'x')
     {
         bool isSent = false;
         connection->connect("127.0.0.1", acceptor.local_endpoint().port(), [&](ConnectEnd) {
@@ -77,7 +79,7 @@
         };
         events.onStray = [this](const EndpointResponse &) { at("stray"); };
         events.onEnd = [this](ReplyEnd how) { ends.push_back(how); };
-        connection->send("GET / HTTP/1.1\r\n\r\n", {"X-Request-Id", "own", hasNoBody}, std::move(events));
+        connection->send("GET / HTTP/1.1\r\n\r\n" + requestBody, {"X-Request-Id", "own", hasNoBody}, std::move(events));
     }
     void at(const std::string &event) const
     {
@@ -94,6 +96,7 @@
     tcp::acceptor acceptor;
     tcp::socket endpoint;
     std::shared_ptr<EndpointConnection> connection;
+    std::string requestBody;
     std::function<void(const std::string &)> onEvent;
     int heads = 0;
     std::string body;
@@ -204,6 +207,21 @@
     }
 }
 
+TEST_CASE("an answer without a length is not whole if its connection is reset while the request is being written", "[whole-answer]")
+{
+    // Failure: the write took the socket's error, the read after it found an end of file, and a part of an answer was passed on as the whole.
+    const bool isReadBefore = GENERATE(true, false);
+    constexpr std::size_t moreThanBuffers = std::size_t{32} * 1024 * 1024;
+    EndpointExchange exchange(false, moreThanBuffers);
+    asio::write(exchange.endpoint, asio::buffer("HTTP/1.1 200 OK\r\n" + own + "\r\npart"));
+    if (isReadBefore) {
+        REQUIRE(runUntil(exchange.io, [&] { return exchange.body == "part"; }));
+    }
+    endConnection(exchange.endpoint, PeerEnd::Reset);
+    REQUIRE(runUntil(exchange.io, [&] { return exchange.ends.size() == 1; }));
+    CHECK(exchange.ends.front() == ReplyEnd::Reset);
+}
+
 TEST_CASE("an endpoint's answer is read whole however it is cut in segments", "[whole-answer]")
 {
     // Failure: an assertion of the parser on an empty body in chunks, whose last chunk and end arrive in different segments, ended the host.
