Take an answer with a status that is none for malformed

Cause: the parser takes any three digits. Statuses below 200 were skipped as informational, so 000 was followed by a wait until the request's time was up; 600 to 999 were passed on to the caller.

--- a/src/base/httpinput.h
+++ b/src/base/httpinput.h
@@ -28,6 +28,21 @@
 /** Limit in bytes of the size line or the trailer of a chunk. All other bytes after the head are consumed as they arrive. */
 constexpr std::size_t maxUnparsedBytes = std::size_t{64} * 1024;
 
+/** Whether an answer may have this status. The parser takes any three digits. */
+constexpr bool isStatus(unsigned status)
+{
+    constexpr unsigned first = 100;
+    constexpr unsigned end = 600;
+    return status >= first && status < end;
+}
+
+/** Whether an answer with this status is the last one to its request. */
+constexpr bool isFinalStatus(unsigned status)
+{
+    constexpr unsigned firstFinal = 200;
+    return isStatus(status) && status >= firstFinal;
+}
+
 /** Whether `input` may be the begin of a chunked body whose first chunk is the last one, from the end of that chunk's line on. */
 template <bool isRequest>
 bool isPartOfLastChunk(const boost::beast::http::basic_parser<isRequest> &parser, std::string_view input)
--- a/src/gateway/messagesegments_test.cpp
+++ b/src/gateway/messagesegments_test.cpp
@@ -222,6 +222,21 @@
     CHECK(exchange.ends.front() == ReplyEnd::Reset);
 }
 
+TEST_CASE("an answer whose status is none is malformed", "[whole-answer]")
+{
+    // Failure: an answer with the status 000 was passed on, or skipped as an informational one.
+    const std::string status = GENERATE("000", "001", "099", "600", "999");
+    std::vector<FramedBody> bodies = framedBodies();
+    bodies.push_back(closeDelimitedBody());
+    const FramedBody body = GENERATE_COPY(from_range(bodies));
+    INFO(status << ", " << body.name);
+    EndpointExchange exchange;
+    sendSegments(exchange.io, exchange.endpoint, "HTTP/1.1 " + status + " Odd\r\n" + own + body.fields + "\r\n" + body.bytes, {});
+    REQUIRE(runUntil(exchange.io, [&] { return exchange.ends.size() == 1; }));
+    CHECK(exchange.ends.front() == ReplyEnd::Malformed);
+    CHECK(exchange.heads == 0);
+}
+
 TEST_CASE("an endpoint's answer is read whole however it is cut in segments", "[whole-answer]")
 {
     // Failure: an assertion of the parser on an empty body in chunks, whose last chunk and end arrive in different segments, ended the host.
--- a/src/relay/endpointexchange.cpp
+++ b/src/relay/endpointexchange.cpp
@@ -146,7 +146,7 @@
         if (!m_open) {
             return;
         }
-        if (error) {
+        if (error || !isFinalStatus(m_parser->get().result_int())) {
             end(ExchangeEnd::Broken);
             return;
         }
