Take an answer with a folded line in its head for malformed

Cause: the parser rejects such bytes within a name. A name that begins with a blank or a tab makes the line a continuation of the field before it, and the parser appends its text to that field's value, which was passed on: a seal or an id with another field's text, or a length that no longer framed the body.

Change: such a line makes an answer malformed. Requests may still hold one: there the value is what its caller wrote.

--- a/src/base/httpinput.h
+++ b/src/base/httpinput.h
@@ -51,6 +51,14 @@
     return parser.is_header_done() && parser.chunked() && input.size() < shortestBody && input.starts_with('0') && input.find("\r\n") != std::string_view::npos;
 }
 
+/** Whether a line of the head that `input` begins with, or is within, continues the line before it: the parser takes its text for a part of that field. */
+inline bool hasFoldedLine(std::string_view input)
+{
+    // Without the fields before it, the head's end is an empty line.
+    const std::string_view head = input.starts_with("\r\n") ? std::string_view() : input.substr(0, input.find("\r\n\r\n"));
+    return head.find("\n ") != std::string_view::npos || head.find("\n\t") != std::string_view::npos;
+}
+
 /**
  * Passes buffered bytes to the parser and consumes those that it has parsed. The message must not be complete.
  * @param error need_more if further bytes are needed; header_limit also for a trailer or a chunk's size line above the limit
@@ -64,6 +72,10 @@
         error = http::error::need_more;
         return;
     }
+    if (!isRequest && !parser.is_header_done() && hasFoldedLine({static_cast<const char *>(input.data()), input.size()})) {
+        error = http::error::bad_field;
+        return;
+    }
     try {
         buffer.consume(parser.put(input, error));
     } catch (const std::length_error &) {
--- a/src/base/messageparts_test.h
+++ b/src/base/messageparts_test.h
@@ -41,6 +41,27 @@
     };
 }
 
+/** Lines of a head that are no field, since their names hold a byte that no name may hold. */
+inline std::vector<std::string> malformedFieldLines()
+{
+    std::vector<std::string> lines{" X-Odd: y\r\n",
+                                   "\tX-Odd: y\r\n",
+                                   "X-Odd : y\r\n",
+                                   "X Odd: y\r\n",
+                                   "X\tOdd: y\r\n",
+                                   ": y\r\n",
+                                   "X-Odd\r\n",
+                                   " Content-Length: 1\r\n",
+                                   "Content-Length : 1\r\n",
+                                   "Content Length: 1\r\n",
+                                   "Transfer-Encoding : chunked\r\n"};
+    for (const char control : {'\0', '\x01', '\x0b', '\x1f', '\x7f'}) {
+        lines.push_back(std::string("X-Od") + control + "d: y\r\n");
+        lines.push_back(std::string("Content-Length") + control + ": 1\r\n");
+    }
+    return lines;
+}
+
 inline FramedBody closeDelimitedBody()
 {
     return {"ended by the connection", "", "hello", "hello", true};
--- a/src/gateway/messagesegments_test.cpp
+++ b/src/gateway/messagesegments_test.cpp
@@ -237,6 +237,24 @@
     CHECK(exchange.heads == 0);
 }
 
+TEST_CASE("an answer with a field whose name is none is malformed", "[whole-answer]")
+{
+    // Failure: the line was passed on, or taken for the framing of the body.
+    const std::string line = GENERATE(from_range(malformedFieldLines()));
+    const bool isFirst = GENERATE(true, false);
+    const FramedBody body = GENERATE(from_range(framedBodies()));
+    const std::string fields = isFirst ? line + own : own + line;
+    const std::string bytes = "HTTP/1.1 200 OK\r\n" + fields + body.fields + "\r\n" + body.bytes;
+    INFO(line << ", " << body.name);
+    for (const std::size_t cut : {bytes.size(), bytes.find(line) + 1, bytes.find(line) + line.size() - 1, bytes.find(line) + line.size()}) {
+        EndpointExchange exchange;
+        sendSegments(exchange.io, exchange.endpoint, bytes, cut == bytes.size() ? std::vector<std::size_t>{} : std::vector<std::size_t>{cut});
+        REQUIRE(runUntil(exchange.io, [&] { return exchange.ends.size() == 1; }));
+        CHECK(exchange.ends.front() == ReplyEnd::Malformed);
+        CHECK(exchange.heads == 0);
+    }
+}
+
 TEST_CASE("an endpoint's answer is read whole however it is cut in segments", "[whole-answer]")
 {
     // Failure: an assertion of the parser on an empty body in chunks, whose last chunk and end arrive in different segments, ended the host.
--- a/src/relay/messagesegments_test.cpp
+++ b/src/relay/messagesegments_test.cpp
@@ -58,6 +58,7 @@
     {
         ManualClock::reset();
         ExchangeEvents events;
+        events.onHeader = [this](const EndpointHeader &) { ++heads; };
         events.onBody = [this](std::string_view bytes) { body += bytes; };
         events.onEnd = [this](ExchangeEnd how) { ends.push_back(how); };
         exchange->start({"127.0.0.1", acceptor.local_endpoint().port()}, EndpointExchange<ManualClock>::Request(http::verb::get, "/", 11), {}, events);
@@ -78,6 +79,7 @@
     Tcp::acceptor acceptor;
     Tcp::socket endpoint;
     std::shared_ptr<EndpointExchange<ManualClock>> exchange;
+    int heads = 0;
     std::string body;
     std::vector<ExchangeEnd> ends;
 };
@@ -142,3 +144,26 @@
         REQUIRE((called.ends.front() == ExchangeEnd::Whole) == (body.endsWithConnection && sent >= headEnd));
     }
 }
+
+TEST_CASE("An endpoint's answer to a relayed request is no answer with a status or a field's name that is none", "[relay][http]")
+{
+    // Failure: an answer with the status 000 was passed on, and a malformed line of the head was taken for the framing of the body.
+    std::vector<std::string> heads;
+    for (const std::string status : {"000", "099", "100", "600", "999"}) {
+        heads.push_back("HTTP/1.1 " + status + " Odd\r\n");
+    }
+    for (const std::string &line : malformedFieldLines()) {
+        heads.push_back("HTTP/1.1 200 OK\r\n" + line);
+        heads.push_back("HTTP/1.1 200 OK\r\nX: y\r\n" + line);
+    }
+    const std::string head = GENERATE_COPY(from_range(heads));
+    for (const FramedBody &body : framedBodies()) {
+        INFO(head << body.name);
+        CalledEndpoint called;
+        sendSegments(called.io, called.endpoint, head + body.fields + "\r\n" + body.bytes, {});
+        endConnection(called.endpoint, PeerEnd::Close);
+        REQUIRE(MessageParts::runUntil(called.io, [&] { return !called.ends.empty(); }));
+        CHECK(called.ends == std::vector<ExchangeEnd>{ExchangeEnd::Broken});
+        CHECK(called.heads == 0);
+    }
+}
