Bound what all requests of a host hold together

What callers of others saw: callers that keep to no limit ended a host by its memory, and all its requests with it.

Cause: each connection holds a body up to the limit of one request, a body was held twice while it was sent, a refused one until its connection had ended, and nothing bounded the sum.

A single request is read whatever its size.

--- a/src/gateway/heldbytes.h
+++ b/src/gateway/heldbytes.h
@@ -1,11 +1,14 @@
 #pragma once
 
-// The bytes of requests and answers that this process holds, and their common limit.
+// The bytes of requests, or of answers, that this process holds, and their common limit.
 //
 // Limits of single requests do not bound a host's memory, as they are multiplied by the requests in progress. Each holder keeps a HeldShare up to date.
 // While the sum is above the limit, holders keep no more than heldWhileExceeded each, and read no further until that has been passed on. So the sum stays
 // below the limit, what one read adds to each holder, and heldWhileExceeded for each holder.
 //
+// A request can't be passed on in part. While the others hold less than half of the limit, one may therefore go on beyond it (HeldShare::mayGrow()): a single
+// request within its own limits is always read. At most one can be in that state, so the sum stays below that bound or half of the limit and one request.
+//
 // Cost: an addition for each change of a share.
 
 #include <cstddef>
@@ -87,6 +90,16 @@
     HeldShare(const HeldShare &) = delete;
     HeldShare &operator=(const HeldShare &) = delete;
 
+    std::size_t bytes() const
+    {
+        return m_bytes;
+    }
+    /** Whether the holder of a request may read more of it. */
+    bool mayGrow() const
+    {
+        const bool isWithin = !m_sum || !m_sum->isExceeded() || m_bytes <= HeldBytes::heldWhileExceeded;
+        return isWithin || m_sum->held() - m_bytes <= m_sum->limit() / 2;
+    }
     void set(std::size_t bytes)
     {
         if (m_sum) {
--- a/src/gateway/heldbytes_test.cpp
+++ b/src/gateway/heldbytes_test.cpp
@@ -37,6 +37,53 @@
     CHECK(sum->held() == 1001);
 }
 
+TEST_CASE("above the limit at most one request may grow, and a single one always may", "[held-bytes]")
+{
+    // Guards against a request within its own limits that is never read, and against several that grow beyond the limit together.
+    const std::shared_ptr<HeldBytes> sum = std::make_shared<HeldBytes>(100'000);
+    HeldShare first(sum);
+    HeldShare second(sum);
+    HeldShare small(sum);
+    first.set(300'000);
+    CHECK(first.mayGrow());
+    small.set(HeldBytes::heldWhileExceeded);
+    CHECK(small.mayGrow());
+    second.set(55'000);
+    CHECK_FALSE(first.mayGrow());
+    CHECK_FALSE(second.mayGrow());
+    CHECK(small.mayGrow());
+    first.set(0);
+    CHECK(second.mayGrow());
+    CHECK(HeldShare(nullptr).mayGrow());
+}
+
+TEST_CASE("a request larger than the limit of all requests is served alone, and beside others refused as not run", "[held-bytes][truthful-not-run]")
+{
+    // Failure: a request within its own limit was held back for ever, or its connection was closed without an answer.
+    GatewayOptions options;
+    options.heldRequestBytes = std::size_t{256} * 1024;
+    Scene scene(options);
+    FakeEndpoint &endpoint = scene.endpoint("e1", [](Peer &peer, const std::string &request) { peer.send(answerTo(request, 200, "done")); });
+    const std::string large = Scene::request("POST", "/unsafe/", "large", {}, std::string(std::size_t{1024} * 1024, 'x'));
+    const std::shared_ptr<Peer> alone = scene.caller();
+    alone->sendLarge(large, [] {});
+    CHECK(scene.until([&] { return contains(alone->received, "done"); }));
+    std::vector<std::shared_ptr<Peer>> incomplete;
+    for (int i = 0; i < 8; ++i) {
+        incomplete.push_back(scene.caller());
+        incomplete.back()->sendLarge(large.substr(0, large.size() - 1), [] {});
+    }
+    const std::shared_ptr<Peer> ordinary = scene.caller();
+    ordinary->send(Scene::request("POST", "/unsafe/", "small", {}, "x"));
+    CHECK(scene.until([&] { return contains(ordinary->received, "done"); }));
+    const auto refused = [&] { return std::ranges::count_if(incomplete, [](const auto &caller) { return wholeMessage(caller->received) > 0; }); };
+    CHECK(scene.until([&] { return refused() == 7; }));
+    for (const std::shared_ptr<Peer> &caller : incomplete) {
+        CHECK((caller->received.empty() || (caller->received.starts_with("HTTP/1.1 503") && !headerOf(caller->received, "Retry-After").empty())));
+    }
+    CHECK(endpoint.requests.size() == 2);
+}
+
 TEST_CASE("an answer above the common limit is passed on whole", "[held-bytes]")
 {
     // Guards against answers that are lost, cut or out of order because they were not held until complete.
