--- a/src/soak/greedycallers_test.cpp
+++ b/src/soak/greedycallers_test.cpp
@@ -89,3 +89,28 @@
     ordinary->send(GatewayTest::Scene::request("POST", "/safe/x", "ordinary", {}, "body"));
     CHECK(fleet.until([&] { return GatewayTest::contains(ordinary->received, "done"); }, 10s));
 }
+
+TEST_CASE("a host whose connections are all taken by callers that send no whole request answers another one", "[callers-limits]")
+{
+    // Failure: as many connections as the host accepts stayed open without a request, and all further ones were closed unread.
+    constexpr std::size_t fewDescriptors = 64;
+    const std::string bytes = GENERATE(std::string(), std::string("POST /safe/x HT"), headWith("Transfer-Encoding: chunked\r\n", 1) + chunkOf(10));
+    INFO(bytes);
+    FleetSettings settings;
+    settings.hosts = 1;
+    settings.gateway = ", \"descriptors\": " + std::to_string(fewDescriptors);
+    Fleet fleet(settings);
+    REQUIRE(fleet.areReady());
+    HostProcess &host = *fleet.hosts.front();
+    std::vector<std::shared_ptr<Peer>> callers;
+    for (std::size_t i = 0; i < fewDescriptors; ++i) {
+        callers.push_back(fleet.caller(host));
+        callers.back()->sendLarge(bytes, [] {});
+    }
+    fleet.pass(2s);
+    const std::shared_ptr<Peer> ordinary = fleet.caller(host);
+    ordinary->sendLarge(GatewayTest::Scene::request("POST", "/safe/x", "ordinary", {}, "body"), [] {});
+    CHECK(fleet.until([&] { return GatewayTest::contains(ordinary->received, "done"); }, 10s));
+    CHECK_FALSE(host.hasEnded());
+    CHECK(host.descriptors() < fewDescriptors);
+}
