--- a/src/soak/soakcallers.cpp
+++ b/src/soak/soakcallers.cpp
@@ -242,4 +242,77 @@
     });
 }
 
+GreedyCaller::GreedyCaller(World &world, std::string name, HostAddress host)
+    : m_world(world)
+    , m_name(std::move(name))
+    , m_host(std::move(host))
+    , m_socket(world.io)
+    , m_timer(world.io)
+{
+}
+
+void GreedyCaller::run()
+{
+    m_socket = tcp::socket(m_world.io);
+    m_socket.async_connect({asio::ip::make_address(m_host.ip), m_host.port}, [self = shared_from_this()](error_code error) {
+        if (!error) {
+            constexpr std::size_t bodyBytes = std::size_t{2} * 1024 * 1024;
+            constexpr std::size_t smallChunk = 16;
+            constexpr std::size_t largeChunk = std::size_t{32} * 1024;
+            const std::size_t size = self->m_world.random.below(2) == 0 ? smallChunk : largeChunk;
+            const std::string chunk = chunkOf(std::string(size, 'x'));
+            self->m_chunk.clear();
+            while (self->m_chunk.size() < largeChunk) {
+                self->m_chunk += chunk;
+            }
+            self->m_left = bodyBytes;
+            const std::string request = self->m_name + "-" + std::to_string(++self->m_number);
+            asio::write(self->m_socket,
+                        asio::buffer("POST /safe/ HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: " + request + "\r\nTransfer-Encoding: chunked\r\n\r\n"),
+                        error);
+            self->write();
+        }
+        self->read();
+    });
+}
+
+void GreedyCaller::write()
+{
+    if (m_left < m_chunk.size()) {
+        return;
+    }
+    m_left -= m_chunk.size();
+    asio::async_write(m_socket, asio::buffer(m_chunk), [self = shared_from_this(), number = m_number](error_code error, std::size_t) {
+        if (!error && number == self->m_number) {
+            self->write();
+        }
+    });
+}
+
+void GreedyCaller::read()
+{
+    m_socket.async_read_some(asio::buffer(m_bytes), [self = shared_from_this()](error_code error, std::size_t) {
+        if (!error) {
+            self->read();
+            return;
+        }
+        error_code ignored;
+        self->m_socket.close(ignored);
+        self->m_timer.expires_after(reconnectDelay);
+        self->m_timer.async_wait([self](error_code) {
+            if (!self->m_stopped) {
+                self->run();
+            }
+        });
+    });
+}
+
+void GreedyCaller::stop()
+{
+    m_stopped = true;
+    error_code ignored;
+    m_timer.cancel();
+    m_socket.close(ignored);
+}
+
 } // namespace Rhubarbwind::Soak
--- a/src/soak/soakcallers.h
+++ b/src/soak/soakcallers.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Callers with one purpose: requests at a host that is stopped, and requests to endpoints that send without end.
+// Callers with one purpose: requests at a host that is stopped, requests to endpoints that send without end, and requests that have no end themselves.
 
 #include "soak/soakworld.h"
 
@@ -74,4 +74,32 @@
     bool m_stopped = false;
 };
 
+/** Sends a large request in chunks that lack the last one, keeps the connection open, and sends another one when the host ends it. */
+class GreedyCaller : public std::enable_shared_from_this<GreedyCaller>
+{
+public:
+    GreedyCaller(World &world, std::string name, HostAddress host);
+    void run();
+    void stop();
+    std::uint64_t sent() const
+    {
+        return m_number;
+    }
+
+private:
+    void write();
+    void read();
+
+    World &m_world;
+    std::string m_name;
+    HostAddress m_host;
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    std::string m_chunk;
+    std::size_t m_left = 0; ///< bytes of the body
+    std::array<char, 1024> m_bytes{};
+    std::uint64_t m_number = 0;
+    bool m_stopped = false;
+};
+
 } // namespace Rhubarbwind::Soak
