--- a/src/gateway/endlessanswer_test.cpp
+++ b/src/gateway/endlessanswer_test.cpp
@@ -4,8 +4,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <malloc.h>
-
 using namespace Rhubarbwind;
 using namespace Rhubarbwind::GatewayTest;
 
@@ -72,12 +70,6 @@
     peer.sendLarge(first, *next);
 }
 
-std::size_t usedMemory()
-{
-    const struct mallinfo2 memory = mallinfo2();
-    return memory.uordblks + memory.hblkhd;
-}
-
 } // namespace
 
 TEST_CASE("bytes without end from an endpoint take bounded memory and end with the request's time", "[whole-answer]")
--- a/src/gateway/heldbytes_test.cpp
+++ b/src/gateway/heldbytes_test.cpp
@@ -84,6 +84,33 @@
     CHECK(endpoint.requests.size() == 2);
 }
 
+TEST_CASE("requests that callers send ahead of their answers take bounded memory together", "[held-bytes]")
+{
+    // Failure: each connection kept 80 KB of the requests behind one that was being answered, and nothing bounded the sum.
+    constexpr std::size_t connections = 128;
+    constexpr std::size_t limit = std::size_t{1024} * 1024;
+    // Above the limit, a connection may keep what is allowed then and one read, in a buffer that doubles.
+    constexpr std::size_t maxMemory = limit + connections * 4 * HeldBytes::heldWhileExceeded;
+    GatewayOptions options;
+    options.heldRequestBytes = limit;
+    Scene scene(options);
+    FakeEndpoint &endpoint = scene.endpoint("e1", [](Peer &, const std::string &) {});
+    const std::string first = Scene::request("POST", "/unsafe/", "first", {}, "x");
+    const std::string ahead = Scene::request("POST", "/unsafe/", "ahead", {}, std::string(std::size_t{200} * 1024, 'x'));
+    std::vector<std::shared_ptr<Peer>> callers;
+    for (std::size_t i = 0; i < connections; ++i) {
+        callers.push_back(scene.caller());
+        callers.back()->send(first);
+    }
+    REQUIRE(scene.until([&] { return endpoint.requests.size() == connections; }));
+    const std::size_t before = usedMemory();
+    for (const std::shared_ptr<Peer> &caller : callers) {
+        caller->sendRepeated(ahead, ahead.size());
+    }
+    scene.pass(300ms);
+    CHECK(usedMemory() - before < maxMemory);
+}
+
 TEST_CASE("an answer above the common limit is passed on whole", "[held-bytes]")
 {
     // Guards against answers that are lost, cut or out of order because they were not held until complete.
