--- a/src/gateway/heldbytes.h
+++ b/src/gateway/heldbytes.h
@@ -90,10 +90,6 @@
     HeldShare(const HeldShare &) = delete;
     HeldShare &operator=(const HeldShare &) = delete;
 
-    std::size_t bytes() const
-    {
-        return m_bytes;
-    }
     /** Whether the holder of a request may read more of it. */
     bool mayGrow() const
     {
