--- a/review/standins-2/smallsite.h
+++ b/review/standins-2/smallsite.h
@@ -35,11 +35,13 @@
         }
     }
 
-    /** The desired state. @param tenants JSON text of its member  @param version of it */
-    static std::string desiredState(int version, const std::string &tenants)
+    /** The desired state. @param tenants and quoteTimeout: JSON texts of their members  @param version of it */
+    static std::string desiredState(int version, const std::string &tenants, const std::string &quoteTimeout)
     {
         return "{\"version\":" + std::to_string(version)
-            + ",\"routes\":[{\"name\":\"quotes\",\"hostname\":\"site.example\",\"pathPrefix\":\"/quotes/\",\"routeType\":\"unsafe\",\"timeoutMs\":3000,"
+            + ",\"routes\":[{\"name\":\"quotes\",\"hostname\":\"site.example\",\"pathPrefix\":\"/quotes/\",\"routeType\":\"unsafe\",\"timeoutMs\":"
+            + quoteTimeout
+            + ","
               "\"goalMs\":300,\"priority\":2,\"service\":\"portal\",\"maxAttempts\":1,\"public\":false,\"sticky\":false,\"resumable\":false},"
               "{\"name\":\"status\",\"hostname\":\"site.example\",\"pathPrefix\":\"/status/\",\"routeType\":\"safe\",\"timeoutMs\":3000,"
               "\"goalMs\":300,\"priority\":2,\"service\":\"portal\",\"maxAttempts\":2,\"public\":false,\"sticky\":false,\"resumable\":false}],"
@@ -47,10 +49,10 @@
               "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"tenants\":"
             + tenants + "}";
     }
-    void operatorWrites(int version, const std::string &tenants)
+    void operatorWrites(int version, const std::string &tenants, const std::string &quoteTimeout = "3000")
     {
-        store.put("config", "main", desiredState(version, tenants));
-        record.line("operator: desired state " + std::to_string(version) + " acknowledged, tenants " + tenants);
+        store.put("config", "main", desiredState(version, tenants, quoteTimeout));
+        record.line("operator: desired state " + std::to_string(version) + " acknowledged, tenants " + tenants + ", timeoutMs " + quoteTimeout);
     }
     void startHosts()
     {
