Review case 7: one key more than 1,000 leaves a restarted fleet without configuration

Takes the place of the change of a time-out, which is rejected by the same code and stays as a form of the case (FORM=timeout). Claimed: a desired state in which a tenant has 1,001 keys is rejected as a whole; after a final fault just behind its acknowledgement no request is served any more (RECOVER). Shown by: review/7/run.sh; three hosts, three workers, one change that adds one key, one kill of all processes.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -2,7 +2,7 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. With TROUBLE=0 the disruption is left out.
 cd "$(dirname "$0")/../.." || exit 2
 temporary=$(mktemp -d) || exit 2
-target/review-2/timeouttext review/7 "$temporary"
+target/review-2/onekeymore review/7 "$temporary"
 code=$?
 rm -rf "$temporary"
 [ "$code" -le 1 ] || exit 2
--- a/review/standins-2/timeouttext.cpp
+++ b/review/standins-2/onekeymore.cpp
@@ -1,5 +1,5 @@
-// The operator changes a route's time-out, and writes the number of milliseconds with a fraction part of zero. All processes are killed just after the
-// acknowledgement and started again. FORM=whole writes the same number without the fraction part.
+// The operator adds a key to a tenant that has 1,000. All processes are killed just after the acknowledgement and started again. With FORM=timeout a
+// route's time-out is changed to 2500.0 instead, and with FORM=whole to 2500.
 
 #include "smallsite.h"
 
@@ -8,7 +8,17 @@
 namespace
 {
 
-constexpr const char *tenants = "[{\"name\":\"hule930\",\"apiKeys\":[\"n2ctnfzs989anu6wsjnb\"],\"priority\":1}]";
+/** One tenant with so many keys, of which the consumers use the first. */
+std::string tenantsWith(int keys)
+{
+    std::string listed = "\"n2ctnfzs989anu6wsjnb\"";
+    for (int i = 1; i < keys; ++i) {
+        char text[32];
+        std::snprintf(text, sizeof(text), ",\"n2ctnfzs98900%07d\"", i);
+        listed += text;
+    }
+    return "[{\"name\":\"hule930\",\"apiKeys\":[" + listed + "],\"priority\":1}]";
+}
 
 /** Sends requests to all hosts in turn. @return share that is answered 200 */
 double servedShare(SmallSite &site, int rounds)
@@ -32,18 +42,19 @@
 int main(int argc, char **argv)
 {
     const Arguments arguments = argumentsOf(argc, argv);
-    const char *form = std::getenv("FORM");
-    const bool isWhole = form != nullptr && std::string(form) == "whole";
+    const char *given = std::getenv("FORM");
+    const std::string form = given == nullptr ? "keys" : given;
+    constexpr int keysBefore = 1000;
     SmallSite site(arguments, [](SmallSite &self, const Arrival &arrival) {
         self.ran(arrival, 200);
         return workerAnswer(arrival, "200 OK", "done");
     });
-    site.operatorWrites(7, tenants);
+    site.operatorWrites(7, tenantsWith(keysBefore));
     site.startHosts();
     sleepMs(1500);
     const double before = servedShare(site, 20);
     if (arguments.hasTrouble) {
-        site.operatorWrites(9, tenants, isWhole ? "2500" : "2500.0");
+        site.operatorWrites(9, tenantsWith(form == "keys" ? keysBefore + 1 : keysBefore), form == "timeout" ? "2500.0" : form == "whole" ? "2500" : "3000");
         for (const std::unique_ptr<Host> &host : site.hosts) {
             host->end();
         }
--- a/review/standins-2/smallsite.h
+++ b/review/standins-2/smallsite.h
@@ -52,7 +52,7 @@
     void operatorWrites(int version, const std::string &tenants, const std::string &quoteTimeout = "3000")
     {
         store.put("config", "main", desiredState(version, tenants, quoteTimeout));
-        record.line("operator: desired state " + std::to_string(version) + " acknowledged, tenants " + tenants + ", timeoutMs " + quoteTimeout);
+        record.line("operator: desired state " + std::to_string(version) + " acknowledged, tenants " + tenants.substr(0, 200) + ", timeoutMs " + quoteTimeout);
     }
     void startHosts()
     {
