--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -757,6 +757,22 @@
     return fd;
 }
 
+/** A connection whose segments and windows are those of a network rather than of a loopback interface. */
+inline int connectSlowly(const std::string &ip, int port)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int segment = 1448;
+    const int window = 32 * 1024;
+    setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment));
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof(window));
+    const sockaddr_in address = addressOf(ip, port);
+    if (connect(fd, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
+        close(fd);
+        return -1;
+    }
+    return fd;
+}
+
 /** One request on a new channel. @return the answer's status; 0 if there was none */
 inline int ask(const std::string &ip, int port, const std::string &request, long timeoutMs, Message *answer = nullptr)
 {
