--- a/review/standins-2/smallsite.h
+++ b/review/standins-2/smallsite.h
@@ -21,7 +21,7 @@
 public:
     /** @param serve makes a worker's answer to an arrival that it runs; it must call ran() */
     SmallSite(const Arguments &arguments, std::function<std::string(SmallSite &, const Arrival &)> serve)
-        : record(arguments.folder + "/record.txt")
+        : record(arguments.record)
     {
         const std::vector<std::string> addresses = freeHostAddresses(3);
         const std::vector<std::string> zones{"zone-a", "zone-b", "zone-c"};
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -809,10 +809,10 @@
     return false;
 }
 
-/** The first argument of a case: the folder of its record; the second one: a temporary folder. */
+/** The first argument of a case: the path of its record.txt; the second one: a temporary folder. */
 struct Arguments
 {
-    std::string folder;
+    std::string record;
     std::string temporary;
     bool hasTrouble = true;
 };
@@ -820,7 +820,7 @@
 inline Arguments argumentsOf(int argc, char **argv)
 {
     if (argc < 3) {
-        cannotRun("usage: CASE FOLDER TEMPORARY_FOLDER");
+        cannotRun("usage: CASE RECORD TEMPORARY_FOLDER");
     }
     ::signal(SIGPIPE, SIG_IGN);
     startOfRun();
