--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,15 +1,11 @@
 #!/usr/bin/env bash
-# Runs the case once; TROUBLE=0 leaves its disruption out. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# Writes to record.txt beside it what was sent, answered and run. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. With
+# TROUBLE=0 the disruption is left out.
 set -u
-cd "$(dirname "$0")/../.."
-program=target/review/slowreader
-if [ ! -x "$program" ] || [ ! -x target/rhubarbwindd ]; then
-    echo "Build first: the command of deploy/system.toml, then review/build-2.sh." >&2
-    exit 2
-fi
-folder=$(mktemp -d)
-trap 'rm -rf "$folder"' EXIT
-timeout --kill-after=5 100 "$program" "$PWD" "$folder" "$PWD/review/8/record.txt"
-status=$?
-[ $status -le 1 ] || status=2
-exit $status
+cd "$(dirname "$0")/../.." || exit 2
+temporary=$(mktemp -d) || exit 2
+timeout --kill-after=5 100 target/review-2/latestream "$PWD" "$temporary" "$PWD/review/8/record.txt"
+code=$?
+rm -rf "$temporary"
+[ "$code" -le 1 ] || exit 2
+exit "$code"
--- a/review/standins-3/latestream.cpp
+++ b/review/standins-2/latestream.cpp
@@ -6,7 +6,7 @@
 //
 // usage: latestream ROOT FOLDER RECORD     TROUBLE=0: no SIGTERM     exit: 1 if a stream was cut, 0 if not, 2 if the case couldn't run
 
-#include "world.h"
+#include "stoppedfleet.h"
 
 using namespace world;
 
--- a/review/standins-3/world.h
+++ b/review/standins-2/stoppedfleet.h
@@ -1,4 +1,4 @@
-// Small stand-ins for a review case: the platform's store, workers, consumers, and the hosts as separate processes.
+// Stand-ins of review/8: the platform's store, workers, consumers, and the hosts as separate processes.
 // Everything listens on loopback addresses. Nothing here is used by the product.
 #pragma once
 
