--- a/src/gateway/stopdeadline.h
+++ b/src/gateway/stopdeadline.h
@@ -3,8 +3,11 @@
 // Decides during a planned stop which requests are still passed on. Pure decision logic; performs no I/O.
 //
 // The platform kills a host at the end of its grace period. A request that is passed on then is cut off: its caller does not learn whether it ran. So a
-// request is refused, while that is still truthful, unless its time limit or the durations of its route's latest answers show that it ends before the
-// deadline. For a request that may be repeated 95 of 100 answers have to be that short; for any other the longest one, with a margin.
+// request is refused, while that is still truthful, unless its time limit ends before the deadline.
+//
+// For the first part of a stop, which the settings state, the platform tolerates that a request is cut off at the deadline. Requests that arrived by then
+// are also passed on if the durations of their route's latest answers indicate that they end before the deadline. For a request that may be repeated 95 of
+// 100 answers have to be that short; for any other the longest one, with a margin.
 //
 // Memory: keptAnswers durations for each of at most maxRoutes routes; without durations a request counts as one that takes its whole time limit.
 
@@ -22,6 +25,22 @@
 namespace Rhubarbwind
 {
 
+/** When a planned stop ends requests. */
+struct StopPlan
+{
+    std::optional<TimePoint> deadline; ///< by which all answers must be complete; none: the stop waits for them
+    TimePoint estimateUntil; ///< requests that arrived by then may be passed on by the durations of earlier answers
+};
+
+/** A request that is about to be passed on. */
+struct StopRequest
+{
+    std::string_view route;
+    bool mayRepeat = false; ///< it does no harm if it runs twice
+    TimePoint receivedAt; ///< its last byte
+    TimePoint limit; ///< when it is answered in any case
+};
+
 /** How requests ended that met the stop. */
 struct StopCounts
 {
@@ -39,10 +58,10 @@
     static constexpr std::size_t minAnswers = 16;
     static constexpr std::size_t maxRoutes = 64;
 
-    /** The stop has begun. @param deadline by which all answers must be complete; none: the stop waits for them */
-    void begin(std::optional<TimePoint> deadline)
+    /** The stop has begun. */
+    void begin(const StopPlan &plan)
     {
-        m_deadline = deadline;
+        m_plan = plan;
     }
     void answered(std::string_view route, Duration duration)
     {
@@ -56,21 +75,21 @@
         Answers &answers = found->second;
         answers.durations.at(answers.count++ % keptAnswers) = duration;
     }
-    /**
-     * Whether a request that is passed on now may be unanswered at the deadline.
-     * @param mayRepeat it does no harm if it runs twice  @param limit when it is answered in any case
-     */
-    bool mayOutlive(std::string_view route, bool mayRepeat, TimePoint limit, TimePoint now) const
+    /** Whether a request that is passed on now may be unanswered at the deadline. */
+    bool mayOutlive(const StopRequest &request, TimePoint now) const
     {
-        if (!m_deadline || limit <= *m_deadline) {
+        if (!m_plan.deadline || request.limit <= *m_plan.deadline) {
             return false;
         }
-        const auto found = m_routes.find(route);
+        if (request.receivedAt > m_plan.estimateUntil) {
+            return true;
+        }
+        const auto found = m_routes.find(request.route);
         if (found == m_routes.end() || found->second.count < minAnswers) {
             return true;
         }
-        const Duration expected = mayRepeat ? quantileOf(found->second, repeatableShare) : quantileOf(found->second, 1) * 3 / 2;
-        return now + expected > *m_deadline;
+        const Duration expected = request.mayRepeat ? quantileOf(found->second, repeatableShare) : quantileOf(found->second, 1) * 3 / 2;
+        return now + expected > *m_plan.deadline;
     }
 
     StopCounts counts;
@@ -94,7 +113,7 @@
         return *at;
     }
 
-    std::optional<TimePoint> m_deadline;
+    StopPlan m_plan;
     std::map<std::string, Answers, std::less<>> m_routes;
 };
 
