--- a/src/gateway/stopdeadline.h
+++ b/src/gateway/stopdeadline.h
@@ -49,6 +49,7 @@
     std::size_t unanswered = 0; ///< refused at the deadline before they were passed on
     std::size_t unknown = 0; ///< passed on; answered at the deadline that their outcome is not known
     std::size_t cut = 0; ///< their answers had begun
+    std::size_t undelivered = 0; ///< answered, but their callers had not received the whole answer at the deadline
 };
 
 class StopDeadline
