--- a/src/soak/soakcallers.cpp
+++ b/src/soak/soakcallers.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio.hpp>
 
+#include <netinet/tcp.h>
+
 namespace Rhubarbwind::Soak
 {
 
@@ -22,8 +24,8 @@
 
 std::string headOf(const std::string &path, const std::string &request, std::size_t bodySize)
 {
-    return "POST " + path + " HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: " + request
-        + "\r\nAuthorization: Bearer key\r\nX-Time-Limit-Ms: 3000\r\nContent-Length: " + std::to_string(bodySize) + "\r\n\r\n";
+    return "POST " + path + " HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: " + request + "\r\nAuthorization: Bearer key\r\nX-Time-Limit-Ms: "
+        + std::to_string(stopTimeLimit.count()) + "\r\nContent-Length: " + std::to_string(bodySize) + "\r\n\r\n";
 }
 
 unsigned statusOf(const std::string &answer)
@@ -68,7 +70,15 @@
 
 void StopCaller::connect()
 {
-    m_socket = tcp::socket(m_world.io);
+    m_socket = tcp::socket(m_world.io, tcp::v4());
+    if (m_pace == Pace::Reading) {
+        constexpr int windowBytes = 4096;
+        constexpr int segmentBytes = 1460;
+        const int segment = segmentBytes;
+        error_code ignored;
+        m_socket.set_option(asio::socket_base::receive_buffer_size(windowBytes), ignored);
+        static_cast<void>(setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment)));
+    }
     ++m_connection;
     m_socket.async_connect({asio::ip::make_address(m_host.ip), m_host.port}, [self = shared_from_this()](error_code error) {
         if (self->m_stopped) {
@@ -85,6 +95,19 @@
     });
 }
 
+std::string StopCaller::path()
+{
+    switch (m_pace) {
+    case Pace::Kept:
+        return "/unsafe/";
+    case Pace::Slow:
+        return m_world.random.below(2) == 0 ? "/unsafe/" : "/stream/";
+    case Pace::Reading:
+        return std::string(largeAnswerPath);
+    }
+    return {};
+}
+
 void StopCaller::send()
 {
     constexpr std::size_t bodySize = 200;
@@ -93,10 +116,11 @@
     std::string body = m_request;
     body.resize(bodySize, '.');
     m_received.clear();
+    m_reads = 0;
     m_waiting = true;
     m_world.runs[m_request].takenBy = m_host.incarnation;
-    const std::string head = headOf("/unsafe/", m_request, body.size());
-    const std::size_t now = m_pace == Pace::Kept ? body.size() : m_world.random.below(body.size());
+    const std::string head = headOf(path(), m_request, body.size());
+    const std::size_t now = m_pace != Pace::Slow ? body.size() : m_world.random.below(body.size());
     error_code error;
     asio::write(m_socket, asio::buffer(head + body.substr(0, now)), error);
     m_rest = body.substr(now);
@@ -107,6 +131,13 @@
     }
 }
 
+Duration StopCaller::readPause()
+{
+    // Slow at first, so that the kernel takes little of the answer at once.
+    constexpr int slowReads = 20;
+    return ++m_reads <= slowReads ? 40ms : 1ms;
+}
+
 void StopCaller::sendRest()
 {
     if (!m_waiting) {
@@ -129,7 +160,7 @@
             self->answered();
         }
         if (!error) {
-            self->read();
+            self->m_pace == Pace::Reading && self->m_waiting ? self->later(self->readPause(), &StopCaller::read) : self->read();
             return;
         }
         if (self->m_waiting) {
--- a/src/soak/soakcallers.h
+++ b/src/soak/soakcallers.h
@@ -7,13 +7,17 @@
 namespace Rhubarbwind::Soak
 {
 
-/** Sends unsafe requests to one host until its process is gone, on persistent connections, or with a body that arrives late. */
+/** That the requests at hosts which are stopped state. */
+inline constexpr std::chrono::milliseconds stopTimeLimit{3000};
+
+/** Sends unsafe requests to one host until its process is gone: on persistent connections, with a body that arrives late, or with an answer that is read slowly. */
 class StopCaller : public std::enable_shared_from_this<StopCaller>
 {
 public:
     enum class Pace : std::uint8_t {
         Kept, ///< one request after another
-        Slow, ///< the end of the body follows after up to the grace period
+        Slow, ///< the end of the body follows after up to the grace period; half of them are streams
+        Reading, ///< a large answer is read in about a second, through a small window
     };
 
     StopCaller(World &world, std::string name, HostAddress host, Pace pace);
@@ -29,6 +33,8 @@
     bool isAnswered(bool hasEnded) const;
     void answered();
     void close();
+    std::string path();
+    Duration readPause();
     void later(Duration wait, void (StopCaller::*then)());
 
     World &m_world;
@@ -43,6 +49,7 @@
     std::array<char, 8192> m_bytes{};
     std::uint64_t m_number = 0;
     std::uint64_t m_connection = 0;
+    int m_reads = 0; ///< of the current answer
     bool m_waiting = false;
     bool m_stopped = false;
 };
