--- a/src/gateway/failinganswer_test.cpp
+++ b/src/gateway/failinganswer_test.cpp
@@ -80,7 +80,7 @@
         const unsigned status = *rc::gen::element(408U, 421U, 429U, 500U, 502U, 503U);
         GatewayOptions options;
         options.heldBytes = *rc::gen::element(options.heldBytes, std::size_t{1});
-        const Failure large{status, *rc::gen::element<std::size_t>(20 * 1024, 1200 * 1024), *rc::gen::arbitrary<bool>()};
+        const Failure large{status, *rc::gen::element(std::size_t{20} * 1024, std::size_t{1200} * 1024), *rc::gen::arbitrary<bool>()};
         const Outcome expected = outcomeOf({status, 10}, target);
         RC_LOG() << target << " " << large << ", expected " << expected << "\n";
         RC_ASSERT(outcomeOf(large, target, options) == expected);
